--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,7 @@
+const config = {
+	files: ['packages/*/dist/tests/**/*.test.js'],
+	timeout: '120s',
+	concurrency: 3,
+};
+
+export default config;
--- /dev/null
+++ b/packages/decisions/src/freshness/index.ts
@@ -0,0 +1,1 @@
+export * from './freshness.js';
--- /dev/null
+++ b/packages/decisions/src/leases/index.ts
@@ -0,0 +1,2 @@
+export * from './lease-voter.js';
+export * from './lease-candidate.js';
--- /dev/null
+++ b/packages/decisions/src/limits/index.ts
@@ -0,0 +1,4 @@
+export type * from './account-demand.js';
+export * from './share-allocator.js';
+export * from './share-holder.js';
+export * from './admission-control.js';
--- /dev/null
+++ b/packages/decisions/src/limits/share-holder.ts
@@ -0,0 +1,127 @@
+import {type AccountShare, type LimitsLookup, type ShareGrant} from './account-demand.js';
+
+type HeldShare = {
+	rateFraction: number;
+	burstFraction: number;
+	tokens: number;
+	updatedAt: number;
+	/** Tokens that no longer fit and go back with the next report. */
+	toReturn: number;
+};
+
+/** The shares of account limits that one VM may use until they expire. */
+export class ShareHolder {
+	readonly #shares = new Map<string, HeldShare>();
+	#sequence = 0;
+	#validUntil = Number.NEGATIVE_INFINITY;
+
+	constructor(private readonly getLimits: LimitsLookup) {}
+
+	/** Sequence of the last grant applied, zero for none. */
+	get sequence(): number {
+		return this.#sequence;
+	}
+
+	get validUntil(): number {
+		return this.#validUntil;
+	}
+
+	getAccounts(): string[] {
+		return [...this.#shares.keys()];
+	}
+
+	/** Returns the tokens an account may use now. */
+	getTokens(account: string, now: number): number {
+		return this.#fillShare(account, now)?.tokens ?? 0;
+	}
+
+	/** Returns the rate at which an account's tokens come in, a second. */
+	getRate(account: string, now: number): number {
+		return now < this.#validUntil ? (this.#shares.get(account)?.rateFraction ?? 0) * (this.getLimits(account)?.rate ?? 0) : 0;
+	}
+
+	/** Takes one token of an account, where there is one. */
+	takeToken(account: string, now: number): boolean {
+		const share = this.#fillShare(account, now);
+		if (share === undefined || share.tokens < 1) {
+			return false;
+		}
+
+		share.tokens -= 1;
+		return true;
+	}
+
+	/** Removes and returns the tokens that go back to the allocator. */
+	removeReturnedTokens(account: string): number {
+		const share = this.#shares.get(account);
+		const returned = share?.toReturn ?? 0;
+		if (share !== undefined) {
+			share.toReturn = 0;
+		}
+
+		return returned;
+	}
+
+	/**
+	 * Applies a grant.
+	 * @param grant - Grant that answers the last report sent.
+	 * @param sentAt - Time at which the report was sent.
+	 * @param isPartial - Whether accounts that the grant does not list keep their share.
+	 * @param now - Monotonic time in milliseconds.
+	 */
+	applyGrant(grant: ShareGrant, sentAt: number, isPartial: boolean, now: number): void {
+		const listed = new Set(grant.accounts.map(share => share.account));
+		for (const account of this.getAccounts()) {
+			this.#fillShare(account, now);
+			if (!isPartial && !listed.has(account)) {
+				this.#shares.delete(account);
+			}
+		}
+
+		for (const share of grant.accounts) {
+			this.#applyShare(share, now);
+		}
+
+		this.#sequence = grant.sequence;
+		this.#validUntil = sentAt + grant.validMs;
+	}
+
+	/** Drops everything; a later report starts anew. */
+	clear(): void {
+		this.#shares.clear();
+		this.#sequence = 0;
+		this.#validUntil = Number.NEGATIVE_INFINITY;
+	}
+
+	#applyShare(share: AccountShare, now: number): void {
+		const held = this.#shares.get(share.account) ?? {
+			rateFraction: 0, burstFraction: 0, tokens: 0, updatedAt: now, toReturn: 0,
+		};
+		held.rateFraction = share.rateFraction;
+		held.burstFraction = share.burstFraction;
+		const capacity = share.burstFraction * (this.getLimits(share.account)?.burst ?? 0);
+		const tokens = held.tokens + share.tokens;
+		held.tokens = Math.min(tokens, capacity);
+		held.toReturn = tokens - held.tokens;
+		held.updatedAt = now;
+		this.#shares.set(share.account, held);
+	}
+
+	#fillShare(account: string, now: number): HeldShare | undefined {
+		if (now >= this.#validUntil) {
+			this.clear();
+			return undefined;
+		}
+
+		const share = this.#shares.get(account);
+		const limits = this.getLimits(account);
+		if (share === undefined || limits === undefined) {
+			return undefined;
+		}
+
+		const seconds = (now - share.updatedAt) / 1000;
+		share.tokens = Math.min(share.burstFraction * limits.burst, share.tokens + (seconds * share.rateFraction * limits.rate));
+		share.updatedAt = now;
+		return share;
+	}
+}
--- /dev/null
+++ b/packages/decisions/src/promotion/index.ts
@@ -0,0 +1,2 @@
+export * from './failure-detector.js';
+export * from './promotion-round.js';
--- /dev/null
+++ b/packages/decisions/src/queueing/fair-queue.ts
@@ -0,0 +1,157 @@
+/** Priority classes of requests. */
+export type Priority = 'high' | 'normal' | 'low';
+
+/** A request that waits for a slot. */
+export type QueueEntry<T> = {
+	readonly account: string;
+	readonly priority: Priority;
+	/** Weight of the account. */
+	readonly weight: number;
+	readonly deadline: number;
+	readonly value: T;
+};
+
+/** Names of the ways to order waiting requests. */
+export type QueuePolicyName = 'fair' | 'first-come';
+
+type AccountQueue<T> = {finish: number; entries: Array<QueueEntry<T>>};
+
+type PriorityClass<T> = {
+	readonly weight: number;
+	served: number;
+	virtualTime: number;
+	readonly accounts: Map<string, AccountQueue<T>>;
+};
+
+const priorities: readonly Priority[] = ['high', 'normal', 'low'];
+const priorityWeights: Readonly<Record<Priority, number>> = {high: 16, normal: 4, low: 1};
+
+/**
+ * Orders waiting requests: between classes by weight, so that none starves, and within a class
+ * by weighted fair queueing over the client accounts.
+ */
+export class FairQueue<T> {
+	readonly #classes: Readonly<Record<Priority, PriorityClass<T>>>;
+	#size = 0;
+
+	constructor(private readonly policy: QueuePolicyName = 'fair') {
+		this.#classes = {
+			high: createClass('high'), normal: createClass('normal'), low: createClass('low'),
+		};
+	}
+
+	get size(): number {
+		return this.#size;
+	}
+
+	/** Returns how many requests of an account wait. */
+	getAccountSize(account: string): number {
+		let size = 0;
+		for (const priority of priorities) {
+			size += this.#classes[priority].accounts.get(this.#getQueueName(account))?.entries.length ?? 0;
+		}
+
+		return size;
+	}
+
+	addEntry(entry: QueueEntry<T>): void {
+		const priorityClass = this.#classes[this.#getClassName(entry.priority)];
+		const name = this.#getQueueName(entry.account);
+		const queue = priorityClass.accounts.get(name) ?? {finish: priorityClass.virtualTime, entries: []};
+		if (this.#isEmptyClass(priorityClass)) {
+			priorityClass.served = this.#getLeastServed(priorityClass.served);
+		}
+
+		queue.entries.push(entry);
+		priorityClass.accounts.set(name, queue);
+		this.#size += 1;
+	}
+
+	/**
+	 * Removes and returns the next request that can be placed.
+	 * @param canPlace - Whether a request could be sent on now.
+	 */
+	removeNext(canPlace: (entry: QueueEntry<T>) => boolean): QueueEntry<T> | undefined {
+		const classes = priorities.map(priority => this.#classes[priority])
+			.filter(priorityClass => !this.#isEmptyClass(priorityClass))
+			.toSorted((a, b) => a.served - b.served);
+		for (const priorityClass of classes) {
+			const entry = this.#removeFromClass(priorityClass, canPlace);
+			if (entry !== undefined) {
+				priorityClass.served += 1 / priorityClass.weight;
+				return entry;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Removes and returns the requests whose deadline has passed. */
+	removeExpired(now: number): Array<QueueEntry<T>> {
+		const expired: Array<QueueEntry<T>> = [];
+		for (const priority of priorities) {
+			for (const [name, queue] of this.#classes[priority].accounts) {
+				expired.push(...queue.entries.filter(entry => entry.deadline <= now));
+				queue.entries = queue.entries.filter(entry => entry.deadline > now);
+				this.#removeIfEmpty(this.#classes[priority], name, queue);
+			}
+		}
+
+		this.#size -= expired.length;
+		return expired;
+	}
+
+	#removeFromClass(priorityClass: PriorityClass<T>, canPlace: (entry: QueueEntry<T>) => boolean): QueueEntry<T> | undefined {
+		const queues = [...priorityClass.accounts].toSorted(([, a], [, b]) => a.finish - b.finish);
+		for (const [name, queue] of queues) {
+			const index = queue.entries.findIndex(entry => canPlace(entry));
+			if (index !== -1) {
+				const [entry] = queue.entries.splice(index, 1);
+				priorityClass.virtualTime = Math.max(priorityClass.virtualTime, queue.finish);
+				queue.finish = Math.max(queue.finish, priorityClass.virtualTime) + (1 / entry!.weight);
+				this.#removeIfEmpty(priorityClass, name, queue);
+				this.#size -= 1;
+				return entry;
+			}
+		}
+
+		return undefined;
+	}
+
+	#removeIfEmpty(priorityClass: PriorityClass<T>, name: string, queue: AccountQueue<T>): void {
+		// An idle account keeps its place only while it is ahead of the others.
+		if (queue.entries.length === 0 && queue.finish <= priorityClass.virtualTime) {
+			priorityClass.accounts.delete(name);
+		}
+	}
+
+	#isEmptyClass(priorityClass: PriorityClass<T>): boolean {
+		for (const queue of priorityClass.accounts.values()) {
+			if (queue.entries.length > 0) {
+				return false;
+			}
+		}
+
+		return true;
+	}
+
+	/** A class that was idle does not catch up on what it did not use. */
+	#getLeastServed(own: number): number {
+		const served = priorities.map(priority => this.#classes[priority]).filter(other => !this.#isEmptyClass(other)).map(other => other.served);
+		return served.length === 0 ? own : Math.max(own, Math.min(...served));
+	}
+
+	#getQueueName(account: string): string {
+		return this.policy === 'fair' ? account : '';
+	}
+
+	#getClassName(priority: Priority): Priority {
+		return this.policy === 'fair' ? priority : 'normal';
+	}
+}
+
+function createClass<T>(priority: Priority): PriorityClass<T> {
+	return {
+		weight: priorityWeights[priority], served: 0, virtualTime: 0, accounts: new Map(),
+	};
+}
--- /dev/null
+++ b/packages/decisions/src/queueing/index.ts
@@ -0,0 +1,1 @@
+export * from './fair-queue.js';
--- /dev/null
+++ b/packages/decisions/src/retries/index.ts
@@ -0,0 +1,2 @@
+export * from './retry-table.js';
+export * from './retry-budget.js';
--- /dev/null
+++ b/packages/decisions/src/retries/retry-table.ts
@@ -0,0 +1,66 @@
+/** Kinds of requests that differ in what a second run does. */
+export type RequestClass =
+	| 'read'
+	/** A write that may run twice. */
+	| 'repeatable-write'
+	/** A write whose identity the group records in the same transaction. */
+	| 'recorded-write'
+	/** A write that may not run twice and is not recorded. */
+	| 'unrecorded-write';
+
+/** How far a request had got when something broke. */
+export type RequestStage =
+	/** It was not handed to an endpoint. */
+	| 'unsent'
+	/** The endpoint refused it before running it. */
+	| 'refused-by-endpoint'
+	/** It was handed to an endpoint and no answer came. */
+	| 'unanswered'
+	/** It was answered, but no replica confirmed it in that term. */
+	| 'unconfirmed';
+
+/** What to do with a request after a failure. */
+export type RetryDecision = 'retry' | 'refuse-not-run' | 'refuse-unknown';
+
+const decisions: Readonly<Record<RequestClass, Readonly<Record<RequestStage, RetryDecision>>>> = {
+	read: {
+		unsent: 'retry', 'refused-by-endpoint': 'retry', unanswered: 'retry', unconfirmed: 'retry',
+	},
+	'repeatable-write': {
+		unsent: 'retry', 'refused-by-endpoint': 'retry', unanswered: 'retry', unconfirmed: 'retry',
+	},
+	'recorded-write': {
+		unsent: 'retry', 'refused-by-endpoint': 'retry', unanswered: 'retry', unconfirmed: 'retry',
+	},
+	'unrecorded-write': {
+		unsent: 'retry', 'refused-by-endpoint': 'retry', unanswered: 'refuse-unknown', unconfirmed: 'refuse-unknown',
+	},
+};
+
+/** Returns the class of a request. */
+export function getRequestClass(access: 'read' | 'write', isRepeatable: boolean, isRecorded: boolean): RequestClass {
+	if (access === 'read') {
+		return 'read';
+	}
+
+	if (isRecorded) {
+		return 'recorded-write';
+	}
+
+	return isRepeatable ? 'repeatable-write' : 'unrecorded-write';
+}
+
+/** Looks up what to do after a failure. */
+export function getRetryDecision(requestClass: RequestClass, stage: RequestStage): RetryDecision {
+	return decisions[requestClass][stage];
+}
+
+/**
+ * Returns what a request that is given up on is told: "not run" only when no sending of it can have run.
+ * @param stages - How far each sending got.
+ * @param requestClass - Class of the request.
+ */
+export function getFinalDecision(stages: readonly RequestStage[], requestClass: RequestClass): RetryDecision {
+	const mayHaveRun = stages.some(stage => stage === 'unanswered' || stage === 'unconfirmed');
+	return mayHaveRun && requestClass !== 'read' ? 'refuse-unknown' : 'refuse-not-run';
+}
--- /dev/null
+++ b/packages/decisions/src/routing/instance-view.ts
@@ -0,0 +1,80 @@
+import {getLaterPosition, logStart, type LogPosition} from '@chicorysaddle/model';
+
+/** What an instance says of itself. */
+export type InstanceReport = {
+	readonly term: number;
+	readonly promoter: string;
+	readonly primary: boolean;
+	readonly position: LogPosition;
+	readonly stalenessMs: number;
+	readonly primarySilentMs: number;
+};
+
+/** What a proxy knows of one instance of a database group. */
+export class InstanceView {
+	/** Latest position that the instance is known to hold. */
+	position: LogPosition = logStart;
+	/** Highest term that the instance has accepted. */
+	term = 0;
+	isPrimary = false;
+	isLeaving = false;
+	/** Time since when every attempt to reach it has failed. */
+	unreachableSince: number | undefined;
+	/** Requests of this proxy that are running on it. */
+	inUse = 0;
+	/** Most requests of this proxy that may run on it at once. */
+	limit = 1;
+	/** Smoothed duration of a request, in milliseconds. */
+	latencyMs = 0;
+	/** Time since the last word from the primary, as the instance said it. */
+	primarySilentMs = 0;
+	#stalenessMs = 0;
+	#reportedAt = Number.NEGATIVE_INFINITY;
+
+	constructor(readonly name: string, readonly zone: string) {}
+
+	get isReachable(): boolean {
+		return this.unreachableSince === undefined;
+	}
+
+	get hasRoom(): boolean {
+		return this.inUse < this.limit;
+	}
+
+	/** Returns an upper bound of the age of the data it holds, in milliseconds. */
+	getStalenessMs(now: number): number {
+		return this.isPrimary ? 0 : this.#stalenessMs + (now - this.#reportedAt);
+	}
+
+	/** Takes in a status, asked for at `sentAt`. */
+	observeReport(report: InstanceReport, sentAt: number): void {
+		this.observeReachable();
+		this.term = Math.max(this.term, report.term);
+		this.isPrimary = report.primary && report.term === this.term;
+		this.primarySilentMs = report.primarySilentMs;
+		this.observePosition(report.position, report.stalenessMs, sentAt);
+	}
+
+	/** Takes in the position and staleness of an answer, asked for at `sentAt`. */
+	observePosition(position: LogPosition, stalenessMs: number, sentAt: number): void {
+		this.position = getLaterPosition(this.position, position);
+		if (sentAt >= this.#reportedAt) {
+			this.#stalenessMs = stalenessMs;
+			this.#reportedAt = sentAt;
+		}
+	}
+
+	observeReachable(): void {
+		this.unreachableSince = undefined;
+	}
+
+	observeUnreachable(now: number): void {
+		this.unreachableSince ??= now;
+	}
+
+	/** Takes in the duration of one request. */
+	observeLatency(durationMs: number): void {
+		const weight = 0.1;
+		this.latencyMs = this.latencyMs === 0 ? durationMs : this.latencyMs + (weight * (durationMs - this.latencyMs));
+	}
+}
--- /dev/null
+++ b/packages/decisions/src/sessions/index.ts
@@ -0,0 +1,1 @@
+export * from './session.js';
--- /dev/null
+++ b/packages/model/src/configuration/configuration-row.ts
@@ -0,0 +1,126 @@
+import {Either, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+
+/** Longest name of an account, group, endpoint or route, in characters. */
+export const maxNameLength = 100;
+
+const name = z.string().min(1).max(maxNameLength).regex(/^[^\s\/\p{C}][^\/\p{C}]*$/v, 'must not hold "/" or control characters');
+const address = z.string().regex(/^[\w.:\[\]\-]+:\d{1,5}$/v, 'must be host:port');
+
+/** Limits of a client account: requests a second, and the largest burst. */
+export const accountSchema = z.object({
+	rate: z.number().positive(),
+	burst: z.number().min(1),
+	weight: z.number().positive().default(1),
+});
+
+/** A key, stored under its SHA-256 hash. */
+export const keySchema = z.object({account: name, label: z.string().default('')});
+
+/** A database group and what its instances support. */
+export const groupSchema = z.object({recordsRequestIds: z.boolean().default(true)});
+
+/** One instance of a database group. */
+export const endpointSchema = z.object({
+	group: name,
+	address,
+	zone: name,
+	slots: z.number().int().positive(),
+	connections: z.number().int().positive(),
+	state: z.enum(['active', 'leaving']).default('active'),
+});
+
+/** A named operation on a database group. */
+export const routeSchema = z.object({
+	group: name,
+	access: z.enum(['read', 'write']),
+	repeatable: z.boolean(),
+	priority: z.enum(['high', 'normal', 'low']).default('normal'),
+	stalenessMs: z.number().int().min(0).default(0),
+	open: z.boolean().default(false),
+	statement: z.string().min(1),
+});
+
+/** Key with which session tokens are signed, as hexadecimal digits. */
+export const secretSchema = z.object({key: z.string().regex(/^[\da-f]{64}$/v)});
+
+/** A VM whose word counts towards a majority. */
+export const voterSchema = z.object({});
+
+const schemas = {
+	account: accountSchema,
+	key: keySchema,
+	group: groupSchema,
+	endpoint: endpointSchema,
+	route: routeSchema,
+	secret: secretSchema,
+	voter: voterSchema,
+} as const;
+
+/** Kinds of configuration rows. */
+export type RowKind = keyof typeof schemas;
+export type AccountLimits = z.infer<typeof accountSchema>;
+export type KeyGrant = z.infer<typeof keySchema>;
+export type DatabaseGroup = z.infer<typeof groupSchema>;
+export type Endpoint = z.infer<typeof endpointSchema>;
+export type Route = z.infer<typeof routeSchema>;
+export type Secret = z.infer<typeof secretSchema>;
+export type Voter = z.infer<typeof voterSchema>;
+
+/** The value type of each kind of row. */
+export type RowValues = {
+	account: AccountLimits;
+	key: KeyGrant;
+	group: DatabaseGroup;
+	endpoint: Endpoint;
+	route: Route;
+	secret: Secret;
+	voter: Voter;
+};
+
+/** A row as stored: "kind/name" and its value as JSON, absent when the row is removed. */
+export type StoredRow = {readonly key: string; readonly value?: string | undefined};
+
+/** A row whose key and value have been checked. */
+export type ParsedRow = {[K in RowKind]: {readonly kind: K; readonly name: string; readonly value: RowValues[K] | undefined}}[RowKind];
+
+function parseValue(schema: z.ZodType, row: StoredRow): Either<string, unknown> {
+	return Either.encase(() => JSON.parse(row.value ?? '') as unknown)
+		.mapLeft(() => `${row.key}: not JSON`)
+		.chain(json => {
+			const result = schema.safeParse(json);
+			return result.success ? Right(result.data) : Left(`${row.key}: ${result.error.issues.map(issue => `${issue.path.join('.')} ${issue.message}`).join('; ')}`);
+		});
+}
+
+/**
+ * Checks a stored row.
+ * @param row - Row as stored.
+ * @returns The checked row, or what is wrong with it.
+ */
+export function parseRow(row: StoredRow): Either<string, ParsedRow> {
+	const slash = row.key.indexOf('/');
+	const kind = row.key.slice(0, slash);
+	const rowName = row.key.slice(slash + 1);
+	if (!Object.hasOwn(schemas, kind)) {
+		return Left(`${row.key}: unknown kind "${kind}"`);
+	}
+
+	if (!name.safeParse(rowName).success) {
+		return Left(`${row.key}: bad name "${rowName}"`);
+	}
+
+	if (row.value === undefined) {
+		return Right({kind, name: rowName, value: undefined} as ParsedRow);
+	}
+
+	return parseValue(schemas[kind as RowKind], row).map(value => {
+		const parsed = {kind, name: rowName, value};
+		return parsed as ParsedRow;
+	});
+}
+
+/** Writes a row in its stored form. */
+export function formatRow<K extends RowKind>(kind: K, rowName: string, value: RowValues[K] | undefined): StoredRow {
+	return {key: `${kind}/${rowName}`, value: value === undefined ? undefined : JSON.stringify(value)};
+}
--- /dev/null
+++ b/packages/model/src/configuration/configuration.ts
@@ -0,0 +1,185 @@
+import {Either, Left, Right} from 'purify-ts';
+import {
+	type AccountLimits, type Endpoint, type ParsedRow, parseRow, type Route, type RowKind, type RowValues, type StoredRow,
+} from './configuration-row.js';
+
+/** One accepted change of the configuration. */
+export type ConfigurationChange = {
+	readonly version: number;
+	/** Identity of the write, by which a lost answer is settled. */
+	readonly writeId: string;
+	readonly author: string;
+	readonly summary: string;
+	readonly rows: readonly StoredRow[];
+};
+
+/** An endpoint with its name. */
+export type NamedEndpoint = Endpoint & {readonly name: string};
+
+type Tables = {[K in RowKind]: Map<string, RowValues[K]>};
+
+function createTables(): Tables {
+	return {
+		account: new Map(), key: new Map(), group: new Map(), endpoint: new Map(), route: new Map(), secret: new Map(), voter: new Map(),
+	};
+}
+
+/** The configuration at one version; changes are applied in order and never taken back. */
+export class Configuration {
+	#version = 0;
+	#tables = createTables();
+	readonly #endpointsByGroup = new Map<string, NamedEndpoint[]>();
+
+	/** The number of the last change applied. */
+	get version(): number {
+		return this.#version;
+	}
+
+	getAccount(name: string): AccountLimits | undefined {
+		return this.#tables.account.get(name);
+	}
+
+	getRoute(name: string): Route | undefined {
+		return this.#tables.route.get(name);
+	}
+
+	/** Returns the account that a key hash belongs to. */
+	getAccountOfKey(hash: string): string | undefined {
+		return this.#tables.key.get(hash)?.account;
+	}
+
+	getSecret(name: string): string | undefined {
+		return this.#tables.secret.get(name)?.key;
+	}
+
+	/** Says whether a group records request ids with its writes. */
+	isRecordingGroup(name: string): boolean {
+		return this.#tables.group.get(name)?.recordsRequestIds ?? false;
+	}
+
+	hasGroup(name: string): boolean {
+		return this.#tables.group.has(name);
+	}
+
+	getGroupNames(): string[] {
+		return [...this.#tables.group.keys()];
+	}
+
+	/** Returns the names of the VMs whose word counts towards a majority. */
+	getVoters(): string[] {
+		return [...this.#tables.voter.keys()];
+	}
+
+	getAccountNames(): string[] {
+		return [...this.#tables.account.keys()];
+	}
+
+	/** Returns the endpoints of a group, leaving ones included. */
+	getEndpoints(group: string): readonly NamedEndpoint[] {
+		return this.#endpointsByGroup.get(group) ?? [];
+	}
+
+	getEndpoint(name: string): NamedEndpoint | undefined {
+		const endpoint = this.#tables.endpoint.get(name);
+		return endpoint && {...endpoint, name};
+	}
+
+	getAllEndpoints(): NamedEndpoint[] {
+		return [...this.#tables.endpoint].map(([name, endpoint]) => ({...endpoint, name}));
+	}
+
+	/** Returns every row in its stored form, ordered by key. */
+	getRows(): StoredRow[] {
+		return Object.entries(this.#tables)
+			.flatMap(([kind, table]) => [...table].map(([name, value]) => ({key: `${kind}/${name}`, value: JSON.stringify(value)})))
+			.toSorted((a, b) => (a.key < b.key ? -1 : 1));
+	}
+
+	/**
+	 * Checks rows against the schema and against the rows they refer to.
+	 * @param rows - Rows of a change.
+	 * @returns The checked rows, or every error found.
+	 */
+	checkRows(rows: readonly StoredRow[]): Either<string[], ParsedRow[]> {
+		const parsed = rows.map(row => parseRow(row));
+		const errors = Either.lefts(parsed);
+		const good = Either.rights(parsed);
+		errors.push(...this.#checkReferences(good));
+		return errors.length > 0 ? Left(errors) : Right(good);
+	}
+
+	/**
+	 * Applies the next change.
+	 * @param change - Change whose version follows the current one.
+	 * @returns The checked rows, or why the change was not applied.
+	 */
+	applyChange(change: ConfigurationChange): Either<string[], ParsedRow[]> {
+		if (change.version !== this.#version + 1) {
+			return Left([`change ${change.version} does not follow version ${this.#version}`]);
+		}
+
+		return this.checkRows(change.rows).ifRight(rows => {
+			this.#storeRows(rows);
+			this.#version = change.version;
+		});
+	}
+
+	/**
+	 * Replaces everything by a later snapshot.
+	 * @param version - Version of the snapshot; an older or equal one is refused.
+	 * @param rows - All rows at that version.
+	 */
+	loadSnapshot(version: number, rows: readonly StoredRow[]): Either<string[], ParsedRow[]> {
+		if (version <= this.#version) {
+			return Left([`snapshot ${version} is not past version ${this.#version}`]);
+		}
+
+		const fresh = new Configuration();
+		return fresh.checkRows(rows).ifRight(parsed => {
+			this.#tables = createTables();
+			this.#storeRows(parsed);
+			this.#version = version;
+		});
+	}
+
+	#storeRows(rows: readonly ParsedRow[]): void {
+		for (const row of rows) {
+			const table = this.#tables[row.kind] as Map<string, unknown>;
+			if (row.value === undefined) {
+				table.delete(row.name);
+			} else {
+				table.set(row.name, row.value);
+			}
+		}
+
+		if (rows.some(row => row.kind === 'endpoint')) {
+			this.#indexEndpoints();
+		}
+	}
+
+	#indexEndpoints(): void {
+		this.#endpointsByGroup.clear();
+		for (const endpoint of this.getAllEndpoints()) {
+			const list = this.#endpointsByGroup.get(endpoint.group) ?? [];
+			list.push(endpoint);
+			this.#endpointsByGroup.set(endpoint.group, list);
+		}
+	}
+
+	#checkReferences(rows: readonly ParsedRow[]): string[] {
+		const changed = new Map(rows.map(row => [`${row.kind}/${row.name}`, row.value !== undefined]));
+		const isKnown = (kind: 'account' | 'group', name: string) => changed.get(`${kind}/${name}`) ?? this.#tables[kind].has(name);
+		const errors: string[] = [];
+		for (const row of rows) {
+			if (row.kind === 'key' && row.value && !isKnown('account', row.value.account)) {
+				errors.push(`key/${row.name}: no client account "${row.value.account}"`);
+			}
+
+			if ((row.kind === 'endpoint' || row.kind === 'route') && row.value && !isKnown('group', row.value.group)) {
+				errors.push(`${row.kind}/${row.name}: no database group "${row.value.group}"`);
+			}
+		}
+
+		return errors;
+	}
+}
--- /dev/null
+++ b/packages/model/src/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './configuration-row.js';
+export * from './configuration.js';
--- /dev/null
+++ b/packages/model/src/errors/index.ts
@@ -0,0 +1,2 @@
+export * from './error-kind.js';
+export * from './refusal.js';
--- /dev/null
+++ b/packages/model/src/positions/index.ts
@@ -0,0 +1,1 @@
+export * from './log-position.js';
--- /dev/null
+++ b/packages/platform/src/client/index.ts
@@ -0,0 +1,2 @@
+export * from './platform-client.js';
+export * from './session-options.js';
--- /dev/null
+++ b/packages/platform/src/configuration/configuration-log.ts
@@ -0,0 +1,151 @@
+import {type Either, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import {
+	type ConfigurationChange, type Refusal, refusals, type StoredRow,
+} from '@chicorysaddle/model';
+import {type ObjectStore} from '../ports/object-store.js';
+import {type Table, type TableRow} from '../ports/table.js';
+
+const headKey = 'configuration/head';
+/** Versions between two snapshots. */
+export const snapshotInterval = 64;
+
+const rowSchema = z.object({key: z.string(), value: z.string().optional()});
+const headSchema = z.object({version: z.number(), snapshotVersion: z.number()});
+const changeSchema = z.object({
+	version: z.number(), writeId: z.string(), author: z.string(), summary: z.string(), rows: z.array(rowSchema),
+});
+const referenceSchema = z.object({writeId: z.string()});
+const snapshotSchema = z.object({version: z.number(), rows: z.array(rowSchema)});
+
+/** The newest version in the store. */
+export type ConfigurationHead = z.infer<typeof headSchema> & {readonly rowVersion: number};
+
+/** Every row at one version. */
+export type ConfigurationSnapshot = {readonly version: number; readonly rows: readonly StoredRow[]};
+
+/** Outcome of writing a change. */
+export type WriteResult =
+	| {readonly kind: 'written'}
+	/** Another change took the version. */
+	| {readonly kind: 'conflict'; readonly change: ConfigurationChange};
+
+/**
+ * The changes of the configuration, in the platform's service.
+ * Bodies go to the object store first; a compare-and-set of the head then takes the version.
+ */
+export class ConfigurationLog {
+	constructor(private readonly table: Table, private readonly objects: ObjectStore) {}
+
+	/** Reads the newest version. */
+	async readHead(): Promise<Either<Refusal, ConfigurationHead>> {
+		const rows = await this.table.readRows([headKey]);
+		return rows.chain(([row]) => parseHead(row));
+	}
+
+	/** Reads the change that made a version. */
+	async readChange(version: number): Promise<Either<Refusal, ConfigurationChange>> {
+		const rows = await this.table.readRows([getChangeKey(version)]);
+		const reference = rows.chain(([row]) => parseJson(referenceSchema, row?.value ?? '', `change ${version}`));
+		if (reference.isLeft()) {
+			return reference;
+		}
+
+		const {writeId} = reference.unsafeCoerce();
+		const body = await this.#readObject(getBodyKey(writeId));
+		return body.chain(text => parseJson(changeSchema, text, `change ${version}`)).map(change => ({...change, version}));
+	}
+
+	/** Reads the snapshot at a version named by the head. */
+	async readSnapshot(version: number): Promise<Either<Refusal, ConfigurationSnapshot>> {
+		const body = await this.#readObject(getSnapshotKey(version));
+		return body.chain(text => parseJson(snapshotSchema, text, `snapshot ${version}`));
+	}
+
+	/**
+	 * Writes the change that follows a version.
+	 * A lost answer is settled by reading back which write took the version.
+	 * @param change - Change whose version is one past the head's.
+	 * @param snapshot - Snapshot to name in the head, where one is due.
+	 */
+	async writeChange(change: ConfigurationChange, snapshot?: ConfigurationSnapshot): Promise<Either<Refusal, WriteResult>> {
+		const put = await this.#putBodies(change, snapshot);
+		const head = put.isLeft() ? (put as unknown as Either<Refusal, ConfigurationHead>) : await this.readHead();
+		if (head.isLeft()) {
+			return head;
+		}
+
+		const current = head.unsafeCoerce();
+		if (current.version !== change.version - 1) {
+			return this.#settle(change);
+		}
+
+		const written = await this.table.compareAndSet([
+			{
+				key: headKey,
+				expectedVersion: current.rowVersion,
+				value: JSON.stringify({version: change.version, snapshotVersion: snapshot?.version ?? current.snapshotVersion}),
+			},
+			{key: getChangeKey(change.version), expectedVersion: 0, value: JSON.stringify({writeId: change.writeId})},
+		]);
+		const isApplied = written.map(result => result.applied).orDefault(false);
+		return isApplied ? Right({kind: 'written'}) : this.#settle(change);
+	}
+
+	/** Finds out which write took a version. */
+	async #settle(change: ConfigurationChange): Promise<Either<Refusal, WriteResult>> {
+		const head = await this.readHead();
+		if (head.isLeft()) {
+			return head;
+		}
+
+		if (head.unsafeCoerce().version < change.version) {
+			return Left(refusals.storeUnavailable(`version ${change.version} was not taken`));
+		}
+
+		const taken = await this.readChange(change.version);
+		return taken.map(other => (other.writeId === change.writeId ? {kind: 'written'} : {kind: 'conflict', change: other}));
+	}
+
+	async #putBodies(change: ConfigurationChange, snapshot?: ConfigurationSnapshot): Promise<Either<Refusal, void>> {
+		const put = await this.objects.putObject(getBodyKey(change.writeId), encodeJson(change));
+		return put.isLeft() || snapshot === undefined ? put : this.objects.putObject(getSnapshotKey(snapshot.version), encodeJson(snapshot));
+	}
+
+	async #readObject(key: string): Promise<Either<Refusal, string>> {
+		const object = await this.objects.getObject(key);
+		return object.chain(body => body
+			.map(bytes => new TextDecoder().decode(bytes))
+			.toEither(refusals.storeUnavailable(`no object "${key}"`)));
+	}
+}
+
+function getChangeKey(version: number): string {
+	return `configuration/change/${version}`;
+}
+
+function getBodyKey(writeId: string): string {
+	return `configuration/body/${writeId}`;
+}
+
+function getSnapshotKey(version: number): string {
+	return `configuration/snapshot/${version}`;
+}
+
+function encodeJson(value: unknown): Uint8Array {
+	return new TextEncoder().encode(JSON.stringify(value));
+}
+
+function parseHead(row: TableRow | undefined): Either<Refusal, ConfigurationHead> {
+	return row === undefined || row.version === 0
+		? Right({version: 0, snapshotVersion: 0, rowVersion: 0})
+		: parseJson(headSchema, row.value, headKey).map(head => ({...head, rowVersion: row.version}));
+}
+
+function parseJson<T>(schema: z.ZodType<T>, text: string, what: string): Either<Refusal, T> {
+	try {
+		return Right(schema.parse(JSON.parse(text)));
+	} catch {
+		return Left(refusals.storeUnavailable(`${what} cannot be read`));
+	}
+}
--- /dev/null
+++ b/packages/platform/src/configuration/index.ts
@@ -0,0 +1,1 @@
+export * from './configuration-log.js';
--- /dev/null
+++ b/packages/platform/src/ports/table.ts
@@ -0,0 +1,30 @@
+import {type Either} from 'purify-ts';
+import {type Refusal} from '@chicorysaddle/model';
+
+/** A row of the table; version zero stands for an absent row. */
+export type TableRow = {
+	readonly key: string;
+	readonly version: number;
+	readonly value: string;
+};
+
+/** A write that holds only while the row is at a version. */
+export type ConditionalWrite = {
+	readonly key: string;
+	readonly expectedVersion: number;
+	readonly value: string;
+};
+
+/** Outcome of a compare-and-set. */
+export type CompareAndSetResult = {
+	readonly applied: boolean;
+	/** Row whose version differed, empty when applied. */
+	readonly conflictingKey: string;
+};
+
+/** The platform's transactional table. */
+export type Table = {
+	readRows(keys: readonly string[]): Promise<Either<Refusal, TableRow[]>>;
+	/** Applies all writes or none; when the answer is lost the outcome is unknown. */
+	compareAndSet(writes: readonly ConditionalWrite[]): Promise<Either<Refusal, CompareAndSetResult>>;
+};
--- /dev/null
+++ b/packages/platform/src/ports/vm-list.ts
@@ -0,0 +1,16 @@
+import {type Either} from 'purify-ts';
+import {type Refusal} from '@chicorysaddle/model';
+
+/** A VM as the platform lists it, which may lag. */
+export type ListedVm = {
+	readonly name: string;
+	/** Address of its peer port. */
+	readonly address: string;
+	readonly zone: string;
+	readonly state: 'live' | 'leaving';
+};
+
+/** The platform's list of VMs. */
+export type VmList = {
+	listVms(): Promise<Either<Refusal, ListedVm[]>>;
+};
--- /dev/null
+++ b/packages/proxy/src/access/index.ts
@@ -0,0 +1,1 @@
+export * from './access-gate.js';
--- /dev/null
+++ b/packages/proxy/src/configuration/change-codec.ts
@@ -0,0 +1,20 @@
+import {create} from '@bufbuild/protobuf';
+import {type ConfigurationChange} from '@chicorysaddle/model';
+import {type ConfigurationChange as WireChange, ConfigurationChangeSchema} from '@chicorysaddle/protocol';
+
+/** Reads a change off the wire. */
+export function parseChange(change: WireChange): ConfigurationChange {
+	return {
+		version: Number(change.version), writeId: change.writeId, author: change.author, summary: change.summary,
+		rows: change.rows.map(row => ({key: row.key, value: row.value})),
+	};
+}
+
+/** Writes a change for the wire. */
+export function formatChange(change: ConfigurationChange): WireChange {
+	return create(ConfigurationChangeSchema, {
+		...change,
+		version: BigInt(change.version),
+		rows: change.rows.map(row => (row.value === undefined ? {key: row.key} : {key: row.key, value: row.value})),
+	});
+}
--- /dev/null
+++ b/packages/proxy/src/configuration/configuration-keeper.ts
@@ -0,0 +1,269 @@
+import {type Either, Left, Right} from 'purify-ts';
+import {type Freshness, getMajority} from '@chicorysaddle/decisions';
+import {
+	Configuration, type ConfigurationChange, type ParsedRow, type Refusal, refusals, type StoredRow,
+} from '@chicorysaddle/model';
+import {type ConfigurationLog, snapshotInterval} from '@chicorysaddle/platform';
+import {type PullConfigurationResponse} from '@chicorysaddle/protocol';
+import {type Clock, type Logger} from '../observability/index.js';
+import {type Membership, type Peer} from '../membership/index.js';
+import {formatChange, parseChange} from './change-codec.js';
+
+/** Changes kept for peers that are behind. */
+const keptChanges = 256;
+const pushTimeoutMs = 700;
+
+/** Outcome of an operator's change. */
+export type ApplyResult =
+	/** Written and known to a majority of the voters. */
+	| {readonly kind: 'accepted'; readonly version: number}
+	/** Written, but a majority of the voters has not confirmed it. */
+	| {readonly kind: 'committed'; readonly version: number}
+	| {readonly kind: 'conflict'; readonly version: number; readonly change?: ConfigurationChange | undefined};
+
+/** A change that an operator asks for. */
+export type ChangeRequest = {
+	readonly expectedVersion: number;
+	readonly author: string;
+	readonly summary: string;
+	readonly writeId: string;
+	readonly rows: readonly StoredRow[];
+};
+
+/** Parts that the keeper works with. */
+export type ConfigurationKeeperParts = {
+	readonly log: ConfigurationLog;
+	readonly freshness: Freshness;
+	readonly membership: Membership;
+	readonly clock: Clock;
+	readonly logger: Logger;
+};
+
+/** Keeps the configuration of this VM at the newest version that it hears of; it never goes back. */
+export class ConfigurationKeeper {
+	readonly current = new Configuration();
+	readonly #changes = new Map<number, ConfigurationChange>();
+	readonly #listeners: Array<(rows: readonly ParsedRow[]) => void> = [];
+	#catchUp: Promise<unknown> = Promise.resolve();
+
+	constructor(private readonly parts: ConfigurationKeeperParts) {}
+
+	get version(): number {
+		return this.current.version;
+	}
+
+	/** Adds a listener for the rows of every change. */
+	addListener(listener: (rows: readonly ParsedRow[]) => void): void {
+		this.#listeners.push(listener);
+	}
+
+	/** Reads the newest version from the store and catches up with it. */
+	async pollStore(): Promise<Either<Refusal, number>> {
+		const sentAt = this.parts.clock.getNow();
+		const head = await this.parts.log.readHead();
+		if (head.isLeft()) {
+			return head;
+		}
+
+		const {version, snapshotVersion} = head.unsafeCoerce();
+		await this.#runInTurn(async () => this.#catchUpFromStore(version, snapshotVersion));
+		if (this.version >= version) {
+			this.parts.freshness.observeStoreWord(sentAt);
+		}
+
+		return Right(version);
+	}
+
+	/** Catches up with a peer. */
+	async pullFrom(peer: Peer): Promise<void> {
+		await this.#runInTurn(async () => {
+			const response = await peer.client.pullConfiguration({fromVersion: BigInt(this.version)}, {timeoutMs: pushTimeoutMs * 4});
+			if (Number(response.snapshotVersion) > this.version) {
+				this.#loadSnapshot(Number(response.snapshotVersion), response.snapshot.map(row => ({key: row.key, value: row.value})));
+			}
+
+			this.applyChanges(response.changes.map(change => parseChange(change)));
+		});
+	}
+
+	/** Returns what a peer at a version lacks. */
+	createPullResponse(fromVersion: number): Partial<Pick<PullConfigurationResponse, 'changes' | 'snapshot' | 'snapshotVersion'>> {
+		const changes: ConfigurationChange[] = [];
+		for (let version = fromVersion + 1; version <= this.version; version += 1) {
+			const change = this.#changes.get(version);
+			if (change === undefined) {
+				return {snapshot: this.current.getRows() as never, snapshotVersion: BigInt(this.version)};
+			}
+
+			changes.push(change);
+		}
+
+		return {changes: changes.map(change => formatChange(change))};
+	}
+
+	/** Applies the changes that follow the current version, in order; others are ignored. */
+	applyChanges(changes: readonly ConfigurationChange[]): void {
+		for (const change of changes.toSorted((a, b) => a.version - b.version)) {
+			if (change.version === this.version + 1) {
+				this.#applyChange(change);
+			}
+		}
+	}
+
+	/** Returns the latest changes that this VM holds, newest first. */
+	getHistory(limit: number): ConfigurationChange[] {
+		return [...this.#changes.values()].toSorted((a, b) => b.version - a.version).slice(0, limit);
+	}
+
+	/** Writes an operator's change, then tells every peer. */
+	async applyRequest(request: ChangeRequest): Promise<Either<Refusal, ApplyResult>> {
+		const head = await this.pollStore();
+		if (head.isLeft()) {
+			return head;
+		}
+
+		const known = this.#changes.get(request.expectedVersion + 1);
+		if (known?.writeId === request.writeId) {
+			return Right(await this.#announce(known));
+		}
+
+		if (this.version !== request.expectedVersion) {
+			return Right({kind: 'conflict', version: this.version, change: known});
+		}
+
+		const checked = this.current.checkRows(request.rows).mapLeft(errors => refusals.invalid(errors.join('\n')));
+		const allowed = checked.isRight() ? await this.#checkVoterChange(checked.unsafeCoerce()) : checked;
+		return allowed.isLeft() ? (allowed) : this.#write(request);
+	}
+
+	/** Asks every peer to take a change, and returns whether a majority of the voters knows it. */
+	async confirmVersion(changes: readonly ConfigurationChange[], version: number): Promise<boolean> {
+		const voters = this.current.getVoters();
+		const {membership, freshness} = this.parts;
+		const knowing = new Set(freshness.isSynchronized ? [membership.self.name] : []);
+		const isMajority = () => voters.filter(voter => knowing.has(voter)).length >= getMajority(voters.length);
+		return new Promise(resolve => {
+			const pushes = membership.peers.map(async peer => {
+				if (await this.#pushTo(peer, changes, version)) {
+					knowing.add(peer.name);
+				}
+
+				if (isMajority()) {
+					resolve(true);
+				}
+			});
+			void Promise.all(pushes).then(() => {
+				resolve(voters.length === 0 || isMajority());
+			});
+		});
+	}
+
+	async #write(request: ChangeRequest): Promise<Either<Refusal, ApplyResult>> {
+		const change: ConfigurationChange = {...request, version: request.expectedVersion + 1};
+		const isSnapshotDue = change.version % snapshotInterval === 0;
+		const snapshot = isSnapshotDue ? {version: this.version, rows: this.current.getRows()} : undefined;
+		const written = await this.parts.log.writeChange(change, snapshot);
+		if (written.isLeft()) {
+			return written;
+		}
+
+		const result = written.unsafeCoerce();
+		if (result.kind === 'conflict') {
+			await this.pollStore();
+			return Right({kind: 'conflict', version: this.version, change: result.change});
+		}
+
+		this.applyChanges([change]);
+		return Right(await this.#announce(change));
+	}
+
+	async #announce(change: ConfigurationChange): Promise<ApplyResult> {
+		const isKnown = await this.confirmVersion([change], change.version);
+		this.parts.logger.info('configuration change written', {version: change.version, author: change.author, accepted: isKnown});
+		return {kind: isKnown ? 'accepted' : 'committed', version: change.version};
+	}
+
+	async #pushTo(peer: Peer, changes: readonly ConfigurationChange[], version: number): Promise<boolean> {
+		try {
+			const response = await peer.client.pushConfiguration({changes: changes.map(change => formatChange(change))}, {timeoutMs: pushTimeoutMs});
+			peer.configurationVersion = Math.max(peer.configurationVersion, Number(response.version));
+			return Number(response.version) >= version && response.synchronized && response.vm === peer.name;
+		} catch {
+			return false;
+		}
+	}
+
+	/** Voters change one at a time, each time only after a majority knows the change before. */
+	async #checkVoterChange(rows: readonly ParsedRow[]): Promise<Either<Refusal, readonly ParsedRow[]>> {
+		const voterRows = rows.filter(row => row.kind === 'voter');
+		const isFirst = this.current.getVoters().length === 0;
+		if (voterRows.length === 0 || isFirst) {
+			return Right(rows);
+		}
+
+		if (voterRows.length > 1) {
+			return Left(refusals.invalid('voters change one at a time'));
+		}
+
+		return await this.confirmVersion([], this.version) ? Right(rows) : Left(refusals.conflict(`version ${this.version} is not known to a majority of the voters yet`));
+	}
+
+	async #catchUpFromStore(version: number, snapshotVersion: number): Promise<void> {
+		if (snapshotVersion > this.version) {
+			const snapshot = await this.parts.log.readSnapshot(snapshotVersion);
+			snapshot.ifRight(({version: at, rows}) => {
+				this.#loadSnapshot(at, rows);
+			});
+		}
+
+		while (this.version < version) {
+			const change = await this.parts.log.readChange(this.version + 1);
+			if (change.isLeft()) {
+				return;
+			}
+
+			this.applyChanges([change.unsafeCoerce()]);
+		}
+	}
+
+	#loadSnapshot(version: number, rows: readonly StoredRow[]): void {
+		this.current.loadSnapshot(version, rows).caseOf({
+			Left: errors => {
+				this.parts.logger.error('configuration snapshot refused', {version, errors: errors.join('; ')});
+			},
+			Right: parsed => {
+				this.#notify(parsed);
+			},
+		});
+	}
+
+	#applyChange(change: ConfigurationChange): void {
+		this.current.applyChange(change).caseOf({
+			Left: errors => {
+				this.parts.logger.error('configuration change refused', {version: change.version, errors: errors.join('; ')});
+			},
+			Right: rows => {
+				this.#changes.set(change.version, change);
+				this.#changes.delete(change.version - keptChanges);
+				this.#notify(rows);
+			},
+		});
+	}
+
+	#notify(rows: readonly ParsedRow[]): void {
+		for (const listener of this.#listeners) {
+			listener(rows);
+		}
+	}
+
+	/** Runs one catch-up at a time. */
+	async #runInTurn<T>(task: () => Promise<T>): Promise<T> {
+		const previous = this.#catchUp;
+		const own = (async () => {
+			await previous.catch(() => undefined);
+			return task();
+		})();
+		this.#catchUp = own.catch(() => undefined);
+		return own;
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './change-codec.js';
+export * from './configuration-keeper.js';
--- /dev/null
+++ b/packages/proxy/src/endpoints/endpoint-connection.ts
@@ -0,0 +1,138 @@
+import {
+	type DescMessage, fromBinary, type MessageShape, toBinary,
+} from '@bufbuild/protobuf';
+import {type Either, Left, Right} from 'purify-ts';
+import {Client, errors} from 'undici';
+import {
+	type ExecuteRequest, ExecuteRequestSchema, type ExecuteResponse, ExecuteResponseSchema, type FenceRequest, FenceRequestSchema, type FenceResponse,
+	FenceResponseSchema, type InstanceStatus, InstanceStatusSchema, type ProbeRequest, ProbeRequestSchema, type PromoteRequest, PromoteRequestSchema,
+} from '@chicorysaddle/protocol';
+import {
+	type EndpointCallOptions, type EndpointConnectionPort, type EndpointConnector, type EndpointFailure,
+} from './endpoint-port.js';
+
+const servicePath = '/chicorysaddle.endpoint.v1.EndpointService';
+/** An idle connection stays open this long, in milliseconds. */
+const keepAliveMs = 600_000;
+
+/** Options of connections to endpoints. */
+export type EndpointConnectionOptions = {
+	readonly connectTimeoutMs: number;
+	/** IP number that connections come from. */
+	readonly sourceAddress?: string | undefined;
+};
+
+type Call<Request extends DescMessage, Response extends DescMessage> = {
+	readonly method: string;
+	readonly request: Request;
+	readonly response: Response;
+};
+
+const calls = {
+	execute: {method: 'Execute', request: ExecuteRequestSchema, response: ExecuteResponseSchema},
+	probe: {method: 'Probe', request: ProbeRequestSchema, response: InstanceStatusSchema},
+	fence: {method: 'Fence', request: FenceRequestSchema, response: FenceResponseSchema},
+	promote: {method: 'Promote', request: PromoteRequestSchema, response: FenceResponseSchema},
+} as const;
+
+/** One connection that speaks the unary Connect protocol, one request at a time. */
+export class EndpointConnection implements EndpointConnectionPort {
+	#losses = 0;
+	readonly #client: Client;
+
+	constructor(address: string, options: EndpointConnectionOptions) {
+		this.#client = new Client(`http://${address}`, {
+			pipelining: 1,
+			connect: {timeout: options.connectTimeoutMs, ...(options.sourceAddress === undefined ? {} : {localAddress: options.sourceAddress})},
+			keepAliveTimeout: keepAliveMs,
+			keepAliveMaxTimeout: keepAliveMs,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		});
+		this.#client.on('disconnect', () => {
+			this.#losses += 1;
+		});
+	}
+
+	get losses(): number {
+		return this.#losses;
+	}
+
+	async execute(request: ExecuteRequest, options: EndpointCallOptions): Promise<Either<EndpointFailure, ExecuteResponse>> {
+		const response = await this.#send(calls.execute, request, options);
+		return response.chain(answer => {
+			if (answer.requestId === request.requestId) {
+				return Right(answer);
+			}
+
+			// The answer belongs to another request: nothing on this connection can be trusted.
+			this.#reset();
+			return Left({stage: 'unanswered', message: `answer to "${answer.requestId}" instead of "${request.requestId}"`});
+		});
+	}
+
+	async probe(request: ProbeRequest, options: EndpointCallOptions): Promise<Either<EndpointFailure, InstanceStatus>> {
+		return this.#send(calls.probe, request, options);
+	}
+
+	async fence(request: FenceRequest, options: EndpointCallOptions): Promise<Either<EndpointFailure, FenceResponse>> {
+		return this.#send(calls.fence, request, options);
+	}
+
+	async promote(request: PromoteRequest, options: EndpointCallOptions): Promise<Either<EndpointFailure, FenceResponse>> {
+		return this.#send(calls.promote, request, options);
+	}
+
+	close(): void {
+		this.#client.destroy().catch(() => undefined);
+	}
+
+	#reset(): void {
+		this.close();
+	}
+
+	async #send<Request extends DescMessage, Response extends DescMessage>(call: Call<Request, Response>, request: MessageShape<Request>, options: EndpointCallOptions): Promise<Either<EndpointFailure, MessageShape<Response>>> {
+		if (options.timeoutMs <= 0) {
+			return Left({stage: 'unsent', message: 'no time left'});
+		}
+
+		try {
+			const response = await this.#client.request({
+				method: 'POST',
+				path: `${servicePath}/${call.method}`,
+				headers: {'content-type': 'application/proto', ...(options.traceparent ? {traceparent: options.traceparent} : {})},
+				body: toBinary(call.request, request),
+				// A request given up on takes its connection along, so that a late answer cannot be read as another's.
+				signal: AbortSignal.timeout(Math.ceil(options.timeoutMs)),
+			});
+			const body = new Uint8Array(await response.body.arrayBuffer());
+			return response.statusCode === 200
+				? Right(fromBinary(call.response, body))
+				: Left({stage: 'unanswered', message: `status ${response.statusCode}`});
+		} catch (error) {
+			return Left(describeFailure(error));
+		}
+	}
+}
+
+const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL']);
+
+/** A request whose connection was never established was not sent. */
+function describeFailure(error: unknown): EndpointFailure {
+	const message = error instanceof Error ? error.message : String(error);
+	const code = error instanceof Error && 'code' in error ? String(error.code) : '';
+	const isUnsent = unsentCodes.has(code)
+		|| error instanceof errors.ConnectTimeoutError
+		|| error instanceof errors.ClientDestroyedError
+		|| error instanceof errors.ClientClosedError;
+	return {stage: isUnsent ? 'unsent' : 'unanswered', message};
+}
+
+/** Opens connections over HTTP/1.1. */
+export class HttpEndpointConnector implements EndpointConnector {
+	constructor(private readonly options: EndpointConnectionOptions) {}
+
+	openConnection(address: string): EndpointConnection {
+		return new EndpointConnection(address, this.options);
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/endpoints/instance-report.ts
@@ -0,0 +1,25 @@
+import {type InstanceReport} from '@chicorysaddle/decisions';
+import {type LogPosition as WirePosition, type InstanceStatus} from '@chicorysaddle/protocol';
+import {logStart, type LogPosition} from '@chicorysaddle/model';
+
+/** Reads a position off the wire. */
+export function parsePosition(position: WirePosition | undefined): LogPosition {
+	return position === undefined ? logStart : {term: Number(position.term), offset: Number(position.offset)};
+}
+
+/** Writes a position for the wire. */
+export function formatPosition(position: LogPosition): {term: bigint; offset: bigint} {
+	return {term: BigInt(position.term), offset: BigInt(position.offset)};
+}
+
+/** Reads an instance's status off the wire. */
+export function parseStatus(status: InstanceStatus): InstanceReport {
+	return {
+		term: Number(status.term),
+		promoter: status.promoter,
+		primary: status.primary,
+		position: parsePosition(status.position),
+		stalenessMs: status.stalenessMs,
+		primarySilentMs: status.primarySilentMs,
+	};
+}
--- /dev/null
+++ b/packages/proxy/src/groups/group-registry.ts
@@ -0,0 +1,108 @@
+import {createHash} from 'node:crypto';
+import {type Configuration} from '@chicorysaddle/model';
+import {type QueuePolicyName} from '@chicorysaddle/decisions';
+import {type Clock} from '../observability/index.js';
+import {type EndpointConnector} from '../endpoints/index.js';
+import {Group} from './group.js';
+import {type Promoter} from './promoter.js';
+
+/** Number of VMs that watch one group closely. */
+export const watchersPerGroup = 3;
+
+/** Time between the attempts of watchers of neighbouring ranks, in milliseconds. */
+const rankStaggerMs = 200;
+
+/** A VM that can watch groups. */
+export type Watcher = {readonly name: string; readonly zone: string};
+
+/**
+ * Chooses the VMs that watch a group: by rendezvous hashing, from different availability zones first.
+ * @param group - Name of the group.
+ * @param vms - VMs to choose from.
+ */
+export function chooseWatchers(group: string, vms: readonly Watcher[]): string[] {
+	const ranked = vms
+		.map(vm => ({vm, score: createHash('sha256').update(`${vm.name}/${group}`).digest('hex')}))
+		.toSorted((a, b) => (a.score < b.score ? -1 : 1))
+		.map(({vm}) => vm);
+	const firstOfZone = ranked.filter((vm, index) => ranked.findIndex(other => other.zone === vm.zone) === index);
+	const others = ranked.filter(vm => !firstOfZone.includes(vm));
+	return [...firstOfZone, ...others].slice(0, watchersPerGroup).map(vm => vm.name);
+}
+
+/** Every database group of the configuration. */
+export class GroupRegistry {
+	readonly #groups = new Map<string, Group>();
+	readonly #watchers = new Map<string, string[]>();
+	readonly #dueSince = new Map<string, number>();
+	readonly #promoting = new Set<string>();
+
+	constructor(private readonly vm: string, private readonly connector: EndpointConnector, private readonly promoter: Promoter, private readonly clock: Clock, private readonly queuePolicy: QueuePolicyName) {}
+
+	getGroup(name: string): Group | undefined {
+		return this.#groups.get(name);
+	}
+
+	getGroups(): Group[] {
+		return [...this.#groups.values()];
+	}
+
+	/** Returns the VMs that watch a group. */
+	getWatchers(group: string): readonly string[] {
+		return this.#watchers.get(group) ?? [];
+	}
+
+	/** Brings the groups in line with the configuration and the VMs known. */
+	configure(configuration: Configuration, vms: readonly Watcher[]): void {
+		for (const name of configuration.getGroupNames()) {
+			const group = this.#groups.get(name) ?? new Group(name, this.connector, this.clock, this.queuePolicy);
+			this.#groups.set(name, group);
+			group.configure(configuration.getEndpoints(name), vms.length);
+			const watchers = chooseWatchers(name, vms);
+			this.#watchers.set(name, watchers);
+			group.isWatched = watchers.includes(this.vm);
+		}
+
+		for (const [name, group] of this.#groups) {
+			if (!configuration.hasGroup(name)) {
+				group.close();
+				this.#groups.delete(name);
+			}
+		}
+	}
+
+	/** Probes what is due and promotes where the watchers agree. */
+	advance(): void {
+		for (const group of this.#groups.values()) {
+			group.advance();
+			void this.#promoteIfDue(group);
+		}
+	}
+
+	close(): void {
+		for (const group of this.#groups.values()) {
+			group.close();
+		}
+	}
+
+	async #promoteIfDue(group: Group): Promise<void> {
+		const {name} = group.state;
+		const now = this.clock.getNow();
+		const watchers = this.getWatchers(name);
+		if (!group.isWatched || this.#promoting.has(name) || !group.detector.isPromotionDue(this.vm, watchers, now)) {
+			this.#dueSince.delete(name);
+			return;
+		}
+
+		const dueSince = this.#dueSince.get(name) ?? now;
+		this.#dueSince.set(name, dueSince);
+		if (now < dueSince + (watchers.indexOf(this.vm) * rankStaggerMs)) {
+			return;
+		}
+
+		this.#promoting.add(name);
+		group.detector.observePromotionStarted(now);
+		await this.promoter.promote(group);
+		this.#promoting.delete(name);
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/groups/promoter.ts
@@ -0,0 +1,125 @@
+import {create} from '@bufbuild/protobuf';
+import {PromotionRound, type PromotionCommand} from '@chicorysaddle/decisions';
+import {type Table, type TableRow} from '@chicorysaddle/platform';
+import {type FenceResponse, FenceRequestSchema, PromoteRequestSchema} from '@chicorysaddle/protocol';
+import {type Either, Left} from 'purify-ts';
+import {z} from 'zod';
+import {type Clock, type Logger, type Metrics} from '../observability/index.js';
+import {type EndpointFailure, parsePosition} from '../endpoints/index.js';
+import {type Group} from './group.js';
+
+const callTimeoutMs = 500;
+const tableTimeoutMs = 300;
+const graceMs = 50;
+const rowSchema = z.object({term: z.number(), promoter: z.string()});
+
+/** How the platform's table answered a claim of a term. */
+type TermClaim = 'claimed' | 'taken' | 'no-answer';
+
+/** Gives a group a new primary. */
+export class Promoter {
+	/**
+	 * @param id - VM and incarnation of this process.
+	 * @param table - The platform's table.
+	 */
+	constructor(private readonly id: string, private readonly table: Table, private readonly clock: Clock, private readonly logger: Logger, private readonly metrics: Metrics) {}
+
+	/**
+	 * Makes one attempt to promote an instance.
+	 * The table settles which promoter takes the term; while it does not answer, a majority of the
+	 * instances does, since each accepts a term from one promoter only.
+	 */
+	async promote(group: Group): Promise<void> {
+		const term = 1 + Math.max(group.state.term, ...group.state.instances.map(instance => instance.term));
+		const claim = await this.#claimTerm(group.state.name, term);
+		this.logger.info('promotion started', {group: group.state.name, term, claim});
+		if (claim === 'taken') {
+			return;
+		}
+
+		const command = await this.#fenceInstances(group, term);
+		if (command.kind === 'promote') {
+			await this.#promoteInstance(group, command.instance, term);
+		} else if (command.kind === 'give-up') {
+			group.state.observeTerm(command.seenTerm);
+		}
+	}
+
+	async #claimTerm(group: string, term: number): Promise<TermClaim> {
+		const limit = new Promise<TermClaim>(resolve => {
+			setTimeout(resolve, tableTimeoutMs, 'no-answer');
+		});
+		return Promise.race([limit, this.#claimTermInTable(group, term)]);
+	}
+
+	async #claimTermInTable(group: string, term: number): Promise<TermClaim> {
+		const key = `group/${group}`;
+		const rows = await this.table.readRows([key]);
+		const row = rows.map(([first]) => first).orDefault(undefined);
+		if (row === undefined) {
+			return 'no-answer';
+		}
+
+		const current = parseClaim(row);
+		if (current.term >= term) {
+			return current.term === term && current.promoter === this.id ? 'claimed' : 'taken';
+		}
+
+		const written = await this.table.compareAndSet([{key, expectedVersion: row.version, value: JSON.stringify({term, promoter: this.id})}]);
+		return written.map((result): TermClaim => (result.applied ? 'claimed' : 'taken')).orDefault('no-answer');
+	}
+
+	async #fenceInstances(group: Group, term: number): Promise<PromotionCommand> {
+		const names = group.state.instances.map(instance => instance.name);
+		const round = new PromotionRound(term, names, graceMs);
+		return new Promise(resolve => {
+			const finish = (command: PromotionCommand) => {
+				if (command.kind !== 'wait') {
+					resolve(command);
+				}
+			};
+
+			const sendings = names.map(async name => {
+				const answer = await this.#fenceInstance(group, name, term);
+				answer.ifRight(response => {
+					const status = response.status!;
+					finish(round.observeAnswer({
+						instance: name, accepted: response.accepted, term: Number(status.term), position: parsePosition(status.position),
+					}, this.clock.getNow()));
+					setTimeout(() => {
+						finish(round.advance(this.clock.getNow()));
+					}, graceMs + 1);
+				});
+			});
+			void Promise.all(sendings).then(() => {
+				finish(round.advance(Number.POSITIVE_INFINITY));
+				resolve({kind: 'wait'});
+			});
+		});
+	}
+
+	async #fenceInstance(group: Group, name: string, term: number): Promise<Either<EndpointFailure, FenceResponse>> {
+		const control = group.getPool(name)?.control;
+		return control === undefined
+			? Left({stage: 'unsent', message: 'no connection'})
+			: control.fence(create(FenceRequestSchema, {term: BigInt(term), promoter: this.id}), {timeoutMs: callTimeoutMs});
+	}
+
+	async #promoteInstance(group: Group, name: string, term: number): Promise<void> {
+		const {control} = (group.getPool(name)!);
+		const answer = await control.promote(create(PromoteRequestSchema, {term: BigInt(term), promoter: this.id}), {timeoutMs: callTimeoutMs});
+		const isAccepted = answer.map(response => response.accepted).orDefault(false);
+		if (isAccepted) {
+			group.observePrimary(term, name);
+			this.metrics.addCount('promotions');
+		}
+
+		this.logger.info('promotion ended', {
+			group: group.state.name, term, instance: name, accepted: isAccepted,
+		});
+	}
+}
+
+function parseClaim(row: TableRow): z.infer<typeof rowSchema> {
+	return row.version === 0 ? {term: 0, promoter: ''} : rowSchema.parse(JSON.parse(row.value));
+}
--- /dev/null
+++ b/packages/proxy/src/index.ts
@@ -0,0 +1,6 @@
+/** The proxy daemon, for programs that run one inside their own process. */
+export * from './settings/index.js';
+export * from './wiring/index.js';
+export * from './observability/index.js';
+export * from './access/index.js';
+export * from './sessions/index.js';
--- /dev/null
+++ b/packages/proxy/src/limits/lease-keeper.ts
@@ -0,0 +1,168 @@
+import {
+	LeaseCandidate, type LeaseRound, LeaseVoter, type PromiseAnswer, type PromiseRequest,
+} from '@chicorysaddle/decisions';
+import {type Clock, type Logger} from '../observability/index.js';
+import {type ConfigurationKeeper} from '../configuration/index.js';
+import {type Membership} from '../membership/index.js';
+
+/** Name of the lease that the allocator of limits holds. */
+export const allocatorLease = 'limits';
+/** Duration of the lease, in milliseconds. */
+export const leaseMs = 3000;
+/** Time between two renewals, in milliseconds. */
+export const renewalMs = 600;
+const staggerMs = 150;
+const promiseTimeoutMs = 400;
+
+/** Seeks and keeps the lease of the allocator, and promises it to others. */
+export class LeaseKeeper {
+	readonly #voter: LeaseVoter;
+	readonly #candidate = new LeaseCandidate({durationMs: leaseMs, renewalMs, staggerMs});
+	#onAcquired: (now: number) => void = () => undefined;
+	#predecessor = '';
+
+	constructor(private readonly membership: Membership, private readonly configuration: ConfigurationKeeper, private readonly clock: Clock, private readonly logger: Logger) {
+		this.#voter = new LeaseVoter(clock.getNow(), leaseMs);
+	}
+
+	/** VM and incarnation of this process. */
+	get id(): string {
+		return `${this.membership.self.name}#${this.membership.self.incarnation}`;
+	}
+
+	get term(): number {
+		return Math.max(this.#candidate.term, this.#voter.term);
+	}
+
+	/** Time until which this process holds the lease. */
+	get heldUntil(): number {
+		return this.#candidate.heldUntil;
+	}
+
+	isHeld(now: number): boolean {
+		return this.#candidate.isHeld(now);
+	}
+
+	/** Sets what is done when the lease is gained. */
+	setAcquiredListener(listener: (now: number) => void): void {
+		this.#onAcquired = listener;
+	}
+
+	/** Returns the holder as this VM has promised, empty for none. */
+	getHolder(now: number): string {
+		return this.isHeld(now) ? this.id : this.#voter.getHolder(now);
+	}
+
+	/** Returns the name of the VM that holds the lease, by the newest word known. */
+	findHolderVm(now: number): string | undefined {
+		const own = this.getHolder(now);
+		const words = this.membership.peers
+			.filter(peer => this.membership.isLive(peer, now) && peer.leaseHolder !== '')
+			.map(peer => ({holder: peer.leaseHolder, term: peer.leaseTerm}));
+		const [best] = [...own === '' ? [] : [{holder: own, term: this.term}], ...words].toSorted((a, b) => b.term - a.term);
+		return best?.holder.split('#', 1)[0];
+	}
+
+	/** Answers a candidate; one whose configuration is older may not know all voters. */
+	promise(request: PromiseRequest, configurationVersion: number): PromiseAnswer {
+		const now = this.clock.getNow();
+		this.#candidate.observeTerm(request.term - 1);
+		return configurationVersion < this.configuration.version
+			? {
+				promised: false, holder: this.getHolder(now), term: this.term, remainingMs: 0,
+			}
+			: this.#voter.promise(request, now);
+	}
+
+	release(holder: string): void {
+		this.#voter.release(holder);
+	}
+
+	/** Renews the lease, or seeks it when it is vacant. */
+	async advance(): Promise<void> {
+		const now = this.clock.getNow();
+		const voters = this.configuration.current.getVoters();
+		if (!voters.includes(this.membership.self.name) || this.membership.isDraining) {
+			return;
+		}
+
+		this.#candidate.observeVacancy(this.#voter.getHolder(now) === '', now);
+		const live = this.membership.getLiveVms().filter(name => voters.includes(name));
+		const round = this.#candidate.startRound(Math.max(0, live.indexOf(this.membership.self.name)), now);
+		if (round !== undefined) {
+			await this.#runRound(round, voters);
+		}
+	}
+
+	/** Seeks the lease at once, as the successor that its holder has chosen. */
+	async takeOver(predecessor: string, term: number): Promise<boolean> {
+		const now = this.clock.getNow();
+		this.#predecessor = predecessor;
+		this.#candidate.observeTerm(term);
+		this.#candidate.observeVacancy(true, now - leaseMs);
+		const round = this.#candidate.startRound(0, now);
+		if (round !== undefined) {
+			await this.#runRound(round, this.configuration.current.getVoters());
+		}
+
+		this.#predecessor = '';
+		return this.isHeld(this.clock.getNow());
+	}
+
+	/** Gives the lease up; the caller makes sure that nothing granted under it is in use. */
+	abandon(): void {
+		this.#candidate.abandon(this.clock.getNow());
+	}
+
+	async releaseEverywhere(): Promise<void> {
+		this.#voter.release(this.id);
+		await Promise.all(this.membership.peers.map(async peer => {
+			try {
+				await peer.client.releaseLease({lease: allocatorLease, holder: this.id}, {timeoutMs: promiseTimeoutMs});
+			} catch {
+				// The promise runs out by itself.
+			}
+		}));
+	}
+
+	async #runRound(round: LeaseRound, voters: readonly string[]): Promise<void> {
+		const wasHeld = this.isHeld(round.sentAt);
+		await Promise.all(voters.map(async voter => {
+			const isPromised = voter === this.membership.self.name ? this.#promiseToSelf(round) : await this.#askPromise(voter, round);
+			if (isPromised && this.#candidate.observePromise(round, voter, voters) && !wasHeld) {
+				const now = this.clock.getNow();
+				this.logger.info('lease gained', {lease: allocatorLease, term: round.term});
+				this.#onAcquired(now);
+			}
+		}));
+		// A lease that was held may have grants in use: it is left to run out.
+		if (!wasHeld && !this.isHeld(this.clock.getNow())) {
+			await this.releaseEverywhere();
+		}
+	}
+
+	#createRequest(round: LeaseRound): PromiseRequest {
+		return {
+			holder: this.id, term: round.term, durationMs: leaseMs, predecessor: this.#predecessor,
+		};
+	}
+
+	#promiseToSelf(round: LeaseRound): boolean {
+		return this.#voter.promise(this.#createRequest(round), this.clock.getNow()).promised;
+	}
+
+	async #askPromise(voter: string, round: LeaseRound): Promise<boolean> {
+		try {
+			const response = await this.membership.getPeer(voter)?.client.promiseLease({
+				lease: allocatorLease,
+				...this.#createRequest(round),
+				term: BigInt(round.term),
+				configurationVersion: BigInt(this.configuration.version),
+			}, {timeoutMs: promiseTimeoutMs});
+			this.#candidate.observeTerm(Number(response?.term ?? 0));
+			return response?.promised ?? false;
+		} catch {
+			return false;
+		}
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/main.ts
@@ -0,0 +1,43 @@
+import process from 'node:process';
+import sade from 'sade';
+import {loadSettings, type Settings} from './settings/index.js';
+import {Proxy} from './wiring/index.js';
+
+const exitCodes = {done: 0, badSettings: 2} as const;
+
+async function runProxy(settings: Settings): Promise<void> {
+	const proxy = await Proxy.start(settings);
+	const stop = () => {
+		void proxy.drain().then(() => {
+			process.exit(exitCodes.done);
+		});
+	};
+
+	process.once('SIGTERM', stop);
+	process.once('SIGINT', stop);
+}
+
+sade('chicorysaddled <settings>', true)
+	.version('0.1.0')
+	.describe('Runs one proxy with the settings of a TOML file.')
+	.option('--check', 'Check the settings and exit')
+	.example('/etc/chicorysaddle/vm.toml')
+	.example('--check /etc/chicorysaddle/vm.toml')
+	.action(async (file: string, options: {check?: boolean}) => {
+		const settings = await loadSettings(file);
+		await settings.caseOf({
+			async Left(errors) {
+				process.stderr.write(`${errors.join('\n')}\n`);
+				process.exit(exitCodes.badSettings);
+			},
+			async Right(checked) {
+				if (options.check) {
+					process.stdout.write(`${file}: settings are good\n`);
+					return;
+				}
+
+				await runProxy(checked);
+			},
+		});
+	})
+	.parse(process.argv);
--- /dev/null
+++ b/packages/proxy/src/membership/index.ts
@@ -0,0 +1,3 @@
+export * from './peer.js';
+export * from './membership.js';
+export * from './exchange.js';
--- /dev/null
+++ b/packages/proxy/src/membership/membership.ts
@@ -0,0 +1,111 @@
+import {type ListedVm, type VmList} from '@chicorysaddle/platform';
+import {type Clock} from '../observability/index.js';
+import {Peer, type PeerOptions} from './peer.js';
+
+/** A peer that is neither listed nor heard is dropped after this time, in milliseconds. */
+const forgetMs = 10_000;
+/** A peer counts as live when it was heard within this time, in milliseconds. */
+const liveMs = 3000;
+
+/** This VM as others see it. */
+export type OwnVm = {
+	readonly name: string;
+	readonly incarnation: string;
+	readonly zone: string;
+	/** Address of the peer port. */
+	readonly address: string;
+};
+
+/** The proxies that this one knows, from the platform's lagging list and from the peers themselves. */
+export class Membership {
+	readonly #peers = new Map<string, Peer>();
+	#listed = new Map<string, ListedVm>();
+	/** Whether this VM takes no new work. */
+	isDraining = false;
+
+	constructor(readonly self: OwnVm, private readonly vmList: VmList, private readonly peerOptions: PeerOptions, private readonly clock: Clock) {}
+
+	get peers(): Peer[] {
+		return [...this.#peers.values()];
+	}
+
+	getPeer(name: string): Peer | undefined {
+		return this.#peers.get(name);
+	}
+
+	isListed(name: string): boolean {
+		return this.#listed.has(name);
+	}
+
+	/** Returns every VM that may be using endpoints, this one included. */
+	getVms(): Array<{name: string; zone: string}> {
+		return [{name: this.self.name, zone: this.self.zone}, ...this.peers.map(peer => ({name: peer.name, zone: peer.zone}))];
+	}
+
+	/** Returns the VMs that answer and take work, this one included, in order of name. */
+	getLiveVms(): string[] {
+		const now = this.clock.getNow();
+		const peers = this.peers.filter(peer => this.isLive(peer, now) && !peer.isDraining);
+		return [...peers.map(peer => peer.name), ...this.isDraining ? [] : [this.self.name]].toSorted();
+	}
+
+	isLive(peer: Peer, now: number): boolean {
+		return now - peer.heardAt <= liveMs;
+	}
+
+	/** Reads the platform's list. */
+	async refresh(): Promise<void> {
+		const listed = await this.vmList.listVms();
+		listed.ifRight(vms => {
+			this.#applyList(vms);
+		});
+	}
+
+	/** Takes in that a VM exists. */
+	observeVm(name: string, address: string, zone: string): Peer | undefined {
+		if (name === this.self.name || address === '') {
+			return undefined;
+		}
+
+		const known = this.#peers.get(name);
+		// A listed address goes before the one that a peer gives of itself.
+		const peer = known !== undefined && (known.address === address || this.#listed.has(name)) ? known : this.#replacePeer(name, address, zone);
+		peer.seenAt = this.clock.getNow();
+		return peer;
+	}
+
+	close(): void {
+		for (const peer of this.peers) {
+			peer.close();
+		}
+	}
+
+	#applyList(vms: readonly ListedVm[]): void {
+		const now = this.clock.getNow();
+		this.#listed = new Map(vms.map(vm => [vm.name, vm]));
+		for (const vm of vms) {
+			if (vm.name === this.self.name) {
+				continue;
+			}
+
+			const known = this.#peers.get(vm.name);
+			const peer = known?.address === vm.address ? known : this.#replacePeer(vm.name, vm.address, vm.zone);
+			peer.isLeaving = vm.state === 'leaving';
+			peer.seenAt = now;
+		}
+
+		for (const peer of this.peers) {
+			if (!this.#listed.has(peer.name) && now - Math.max(peer.seenAt, peer.heardAt) > forgetMs) {
+				peer.close();
+				this.#peers.delete(peer.name);
+			}
+		}
+	}
+
+	#replacePeer(name: string, address: string, zone: string): Peer {
+		this.#peers.get(name)?.close();
+		const peer = new Peer(name, address, zone, this.peerOptions);
+		this.#peers.set(name, peer);
+		return peer;
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/membership/peer.ts
@@ -0,0 +1,50 @@
+import {type Client, createClient, type Interceptor} from '@connectrpc/connect';
+import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {createSessionOptions} from '@chicorysaddle/platform';
+import {PeerService} from '@chicorysaddle/protocol';
+
+/** Header in which proxies show one another their secret. */
+export const peerSecretHeader = 'x-peer-secret';
+
+/** Options of connections to peers. */
+export type PeerOptions = {
+	readonly secret: string;
+	readonly sourceAddress?: string | undefined;
+};
+
+/** Another proxy, as this one knows it. */
+export class Peer {
+	readonly client: Client<typeof PeerService>;
+	incarnation = '';
+	configurationVersion = 0;
+	isSynchronized = false;
+	isDraining = false;
+	/** Whether the platform lists it as leaving. */
+	isLeaving = false;
+	/** Holder of the allocator lease, as it knows. */
+	leaseHolder = '';
+	leaseTerm = 0;
+	/** Time at which the last question that it answered was sent. */
+	heardAt = Number.NEGATIVE_INFINITY;
+	/** Time at which it was last listed, or last asked this VM something. */
+	seenAt = Number.NEGATIVE_INFINITY;
+	readonly #sessions: Http2SessionManager;
+
+	constructor(readonly name: string, readonly address: string, readonly zone: string, options: PeerOptions) {
+		const baseUrl = `http://${address}`;
+		const addSecret: Interceptor = next => async request => {
+			request.header.set(peerSecretHeader, options.secret);
+			return next(request);
+		};
+
+		this.#sessions = new Http2SessionManager(baseUrl, {idleConnectionTimeoutMs: 60_000}, createSessionOptions(options.sourceAddress));
+		this.client = createClient(PeerService, createConnectTransport({
+			baseUrl, httpVersion: '2', sessionManager: this.#sessions, interceptors: [addSecret], useBinaryFormat: true,
+		}));
+	}
+
+	/** Ends its connection. */
+	close(): void {
+		this.#sessions.abort();
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/observability/index.ts
@@ -0,0 +1,5 @@
+export * from './clock.js';
+export * from './logger.js';
+export * from './metrics.js';
+export * from './tracing.js';
+export * from './repeat.js';
--- /dev/null
+++ b/packages/proxy/src/requests/answer.ts
@@ -0,0 +1,23 @@
+import {type LogPosition} from '@chicorysaddle/model';
+import {type ExecuteResponse, type Row} from '@chicorysaddle/protocol';
+import {parsePosition} from '../endpoints/index.js';
+
+/** The answer of an endpoint to one request. */
+export type Answer = {
+	readonly rows: Row[];
+	readonly position: LogPosition;
+	readonly servedBy: 'primary' | 'replica';
+	readonly stalenessMs: number;
+	readonly replayed: boolean;
+};
+
+/** Reads an answer off the wire. */
+export function parseAnswer(response: ExecuteResponse, isPrimary: boolean): Answer {
+	return {
+		rows: response.rows,
+		position: parsePosition(response.position),
+		servedBy: isPrimary ? 'primary' : 'replica',
+		stalenessMs: isPrimary ? 0 : response.stalenessMs,
+		replayed: response.replayed,
+	};
+}
--- /dev/null
+++ b/packages/proxy/src/requests/request-parts.ts
@@ -0,0 +1,31 @@
+import {type RetryBudget, type ReadRouter} from '@chicorysaddle/decisions';
+import {type AccessGate} from '../access/index.js';
+import {type ConfigurationKeeper} from '../configuration/index.js';
+import {type GroupRegistry} from '../groups/index.js';
+import {type Limiter} from '../limits/index.js';
+import {type Clock, type Metrics, type Tracing} from '../observability/index.js';
+import {type SessionTokenCodec} from '../sessions/index.js';
+import {type ClaimRegistry} from './claim-registry.js';
+
+/** Names of the moments at which a write is acknowledged. */
+export type AcknowledgePolicyName = 'replica' | 'at-once';
+
+/** Parts that serve requests. */
+export type RequestParts = {
+	readonly gate: AccessGate;
+	readonly configuration: ConfigurationKeeper;
+	readonly groups: GroupRegistry;
+	readonly limiter: Limiter;
+	readonly sessions: SessionTokenCodec;
+	readonly claims: ClaimRegistry;
+	readonly router: ReadRouter;
+	readonly retryBudget: RetryBudget;
+	readonly clock: Clock;
+	readonly metrics: Metrics;
+	readonly tracing: Tracing;
+	readonly acknowledge: AcknowledgePolicyName;
+	/** Returns a random number from zero up to one. */
+	getRandom(): number;
+	/** Returns an identity that no other request has. */
+	createId(): string;
+};
--- /dev/null
+++ b/packages/proxy/src/requests/write-runner.ts
@@ -0,0 +1,203 @@
+import {create} from '@bufbuild/protobuf';
+import {type Either, Left, Right} from 'purify-ts';
+import {ExecuteRequestSchema, type ExecuteResponse, Outcome} from '@chicorysaddle/protocol';
+import {
+	getFinalDecision, getRetryDecision, getRetryDelayMs, type ReadChoice, type RequestClass, type RequestStage,
+} from '@chicorysaddle/decisions';
+import {type Refusal, refusals, type Route} from '@chicorysaddle/model';
+import {type CallerIdentity} from '../access/index.js';
+import {parsePosition} from '../endpoints/index.js';
+import {type Group, type Slot} from '../groups/index.js';
+import {type Answer, parseAnswer} from './answer.js';
+import {type RequestContext} from './request-context.js';
+import {type RequestParts} from './request-parts.js';
+import {waitMs} from './wait.js';
+
+/** One write, with the identity under which it is recorded. */
+export type WriteRequest = {
+	readonly route: Route;
+	readonly group: Group;
+	readonly parameters: Readonly<Record<string, string>>;
+	readonly caller: CallerIdentity;
+	readonly weight: number;
+	readonly requestClass: RequestClass;
+	readonly recordId: string;
+	readonly bodyHash: string;
+};
+
+type Attempt =
+	| {readonly kind: 'answered'; readonly answer: Answer}
+	| {readonly kind: 'failed'; readonly stage: RequestStage}
+	| {readonly kind: 'refused'; readonly refusal: Refusal};
+
+/** Time kept back to tell the caller before its deadline, in milliseconds. */
+const answerMarginMs = 20;
+
+/** Runs writes on the primary and acknowledges them once a replica holds them in the same term. */
+export class WriteRunner {
+	constructor(private readonly parts: RequestParts) {}
+
+	/** Runs a write, again where its class allows that. */
+	async runWrite(write: WriteRequest, context: RequestContext): Promise<Either<Refusal, Answer>> {
+		const stages: RequestStage[] = [];
+		for (let attempt = 0; ; attempt += 1) {
+			const slot = await this.#acquireSlot(write, context);
+			if (slot.isLeft()) {
+				return this.#giveUp(write, stages, slot.extract());
+			}
+
+			const result = await this.#useSlot(write, slot.unsafeCoerce(), context);
+			if (result.kind === 'answered') {
+				return Right(result.answer);
+			}
+
+			if (result.kind === 'refused') {
+				return this.#giveUp(write, stages, result.refusal);
+			}
+
+			stages.push(result.stage);
+			const refusal = await this.#prepareRetry(write, result.stage, attempt, context);
+			if (refusal !== undefined) {
+				return this.#giveUp(write, stages, refusal);
+			}
+		}
+	}
+
+	async #acquireSlot(write: WriteRequest, context: RequestContext): Promise<Either<Refusal, Slot>> {
+		const {clock, metrics} = this.parts;
+		const startedAt = clock.getNow();
+		const slot = await write.group.dispatcher.acquireSlot({
+			account: write.caller.account,
+			priority: write.route.priority,
+			weight: write.weight,
+			deadline: context.deadline,
+			choose: () => choosePrimary(write.group),
+		});
+		metrics.recordDuration('queue', clock.getNow() - startedAt);
+		return slot;
+	}
+
+	async #useSlot(write: WriteRequest, slot: Slot, context: RequestContext): Promise<Attempt> {
+		const {gate, clock, metrics, tracing} = this.parts;
+		const allowed = gate.checkIdentity(write.caller);
+		if (allowed.isLeft()) {
+			slot.release(true);
+			return {kind: 'refused', refusal: allowed.extract()};
+		}
+
+		const {group} = write;
+		const {term} = group.state;
+		const sentAt = clock.getNow();
+		const request = create(ExecuteRequestSchema, {
+			requestId: this.parts.createId(),
+			recordId: write.requestClass === 'recorded-write' ? write.recordId : '',
+			bodyHash: write.bodyHash,
+			statement: write.route.statement,
+			parameters: write.parameters,
+			write: true,
+			term: BigInt(term),
+		});
+		const result = await tracing.runInSpan('endpoint execute', context.trace, async (own, span) => {
+			span.setAttributes({endpoint: slot.instance.name, group: group.state.name});
+			return slot.connection.execute(request, {timeoutMs: context.deadline - answerMarginMs - sentAt, traceparent: tracing.formatTraceparent(own)});
+		});
+		const durationMs = clock.getNow() - sentAt;
+		metrics.recordDuration('endpoint', durationMs);
+		if (result.isLeft()) {
+			const failure = result.swap().unsafeCoerce();
+			slot.release(false);
+			if (failure.stage === 'unsent') {
+				slot.instance.observeUnreachable(sentAt);
+			}
+
+			group.observeFailure(slot.instance);
+			return {kind: 'failed', stage: failure.stage};
+		}
+
+		slot.instance.observeLatency(durationMs);
+		group.observeAnswer(slot.instance);
+		slot.release(true);
+		return this.#judgeResponse(write, slot, term, result.unsafeCoerce(), context);
+	}
+
+	async #judgeResponse(write: WriteRequest, slot: Slot, term: number, response: ExecuteResponse, context: RequestContext): Promise<Attempt> {
+		if (response.outcome === Outcome.DONE) {
+			return this.#confirm(write, slot, term, response, context);
+		}
+
+		if (response.outcome === Outcome.RECORD_MISMATCH) {
+			return {kind: 'refused', refusal: refusals.mismatch('of this request')};
+		}
+
+		if (response.outcome === Outcome.BAD_STATEMENT) {
+			return {kind: 'refused', refusal: refusals.invalid(`route statement "${write.route.statement}" is not known to its group`)};
+		}
+
+		if (response.outcome === Outcome.WRONG_TERM) {
+			void write.group.probeInstance(slot.instance);
+		}
+
+		return {kind: 'failed', stage: 'refused-by-endpoint'};
+	}
+
+	async #confirm(write: WriteRequest, slot: Slot, term: number, response: ExecuteResponse, context: RequestContext): Promise<Attempt> {
+		const {clock, metrics} = this.parts;
+		const position = parsePosition(response.position);
+		slot.instance.observePosition(position, 0, clock.getNow());
+		if (this.parts.acknowledge === 'at-once') {
+			return {kind: 'answered', answer: parseAnswer(response, true)};
+		}
+
+		const startedAt = clock.getNow();
+		const confirmation = await write.group.confirmer.confirm(position, term, context.deadline - answerMarginMs);
+		metrics.recordDuration('confirm', clock.getNow() - startedAt);
+		return confirmation === 'confirmed'
+			? {kind: 'answered', answer: parseAnswer(response, true)}
+			: {kind: 'failed', stage: 'unconfirmed'};
+	}
+
+	/** Returns why the write is not tried again, undefined when it is. */
+	async #prepareRetry(write: WriteRequest, stage: RequestStage, attempt: number, context: RequestContext): Promise<Refusal | undefined> {
+		const {clock, retryBudget} = this.parts;
+		if (getRetryDecision(write.requestClass, stage) !== 'retry') {
+			return refusals.outcomeUnknown('the answer was lost');
+		}
+
+		const delayMs = getRetryDelayMs(attempt, this.parts.getRandom());
+		if (clock.getNow() + delayMs >= context.deadline - answerMarginMs) {
+			return refusals.deadlineNotRun();
+		}
+
+		if (stage !== 'refused-by-endpoint' && stage !== 'unsent' && !retryBudget.takeRetry()) {
+			return refusals.overloaded(write.group.state.name, delayMs);
+		}
+
+		await waitMs(delayMs);
+		return undefined;
+	}
+
+	/** "Not run" is said only when no sending of the write can have run. */
+	#giveUp(write: WriteRequest, stages: readonly RequestStage[], refusal: Refusal): Either<Refusal, Answer> {
+		const mayHaveRun = getFinalDecision(stages, write.requestClass) === 'refuse-unknown';
+		if (!mayHaveRun || !refusal.isNotRun) {
+			return Left(refusal);
+		}
+
+		return Left(refusal.kind === 'deadline-not-run' ? refusals.deadlineUnknown() : refusals.outcomeUnknown(refusal.message));
+	}
+}
+
+/** Chooses the primary where it can take a write whose replicas can confirm it. */
+export function choosePrimary(group: Group): ReadChoice {
+	const {primary, replicas} = group.state;
+	if (!primary?.isReachable) {
+		return {kind: 'none'};
+	}
+
+	const hasReplica = replicas.length === 0 || replicas.some(replica => replica.isReachable);
+	if (!hasReplica) {
+		return {kind: 'none'};
+	}
+
+	return primary.hasRoom ? {kind: 'send', instance: primary, waitMs: 0} : {kind: 'wait'};
+}
--- /dev/null
+++ b/packages/proxy/src/server/index.ts
@@ -0,0 +1,3 @@
+export * from './listeners.js';
+export * from './caller-server.js';
+export * from './health.js';
--- /dev/null
+++ b/packages/proxy/src/server/listeners.ts
@@ -0,0 +1,99 @@
+import {createServer, type RequestListener, type Server} from 'node:http';
+import {
+	createServer as createHttp2Server, type Http2Server, type Http2ServerRequest, type Http2ServerResponse,
+} from 'node:http2';
+import {type AddressInfo, type Server as NetServer} from 'node:net';
+import {type Settings} from '../settings/index.js';
+
+type Http2Listener = (request: Http2ServerRequest, response: Http2ServerResponse) => void;
+
+/** Longest time for a caller to send the headers of a request, in milliseconds. */
+const headersTimeoutMs = 10_000;
+/** Longest time for a caller to send a whole request, in milliseconds. */
+const requestTimeoutMs = 30_000;
+/** Time that an idle connection is kept, in milliseconds. */
+const keepAliveTimeoutMs = 75_000;
+
+/** The bound ports of one proxy; what answers on them is set once everything is wired. */
+export class Listeners {
+	readonly caller: Server;
+	readonly callerHttp2: Http2Server;
+	readonly peer: Http2Server;
+	readonly operator: Server;
+
+	constructor(private readonly settings: Settings) {
+		const options = {headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: keepAliveTimeoutMs};
+		this.caller = createServer(options);
+		this.callerHttp2 = createHttp2Server();
+		this.peer = createHttp2Server();
+		this.operator = createServer(options);
+	}
+
+	get callerPort(): number {
+		return getPort(this.caller);
+	}
+
+	get peerPort(): number {
+		return getPort(this.peer);
+	}
+
+	get operatorPort(): number {
+		return getPort(this.operator);
+	}
+
+	/** Binds the ports for peers and operators; callers come once the proxy is ready to serve. */
+	async open(): Promise<void> {
+		const {ports, vm} = this.settings;
+		await listen(this.peer, ports.peer, vm.address);
+		await listen(this.operator, ports.operator, vm.address);
+		await listen(this.caller, ports.caller, vm.address);
+		if (ports.caller_http2 !== undefined) {
+			await listen(this.callerHttp2, ports.caller_http2, vm.address);
+		}
+	}
+
+	setCallerListener(listener: RequestListener, http2Listener: Http2Listener): void {
+		this.caller.on('request', listener);
+		this.callerHttp2.on('request', http2Listener);
+	}
+
+	/** Stops taking callers and waits for the requests in flight. */
+	async closeCallers(limitMs: number): Promise<void> {
+		const closed = [closeServer(this.caller), ...this.callerHttp2.listening ? [closeServer(this.callerHttp2)] : []];
+		this.caller.closeIdleConnections();
+		const limit = new Promise(resolve => {
+			setTimeout(resolve, limitMs).unref();
+		});
+		await Promise.race([Promise.all(closed), limit]);
+		this.caller.closeAllConnections();
+	}
+
+	/** Closes the other ports. */
+	closeControl(): void {
+		this.peer.close();
+		this.operator.close();
+		this.operator.closeAllConnections();
+	}
+}
+
+async function listen(server: NetServer, port: number, host: string): Promise<void> {
+	return new Promise((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+}
+
+async function closeServer(server: NetServer): Promise<void> {
+	return new Promise(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+}
+
+function getPort(server: NetServer): number {
+	return (server.address() as AddressInfo).port;
+}
--- /dev/null
+++ b/packages/proxy/src/services/caller-handlers.ts
@@ -0,0 +1,140 @@
+import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
+import {type Either, Left, Right} from 'purify-ts';
+import {
+	type BeginRequest, type BeginResponse, BeginResponseSchema, type CommitRequest, CommitRequestSchema,
+	type RollBackRequest, RollBackRequestSchema, type RollBackResponse, RollBackResponseSchema, type RunInTransactionRequest, RunInTransactionRequestSchema,
+	type RunRequest, type RunResponse, RunResponseSchema,
+} from '@chicorysaddle/protocol';
+import {
+	type ErrorKind, isErrorKind, Refusal, refusals,
+} from '@chicorysaddle/model';
+import {type Membership} from '../membership/index.js';
+import {type Clock, type Metrics, type Tracing} from '../observability/index.js';
+import {
+	type Answer, type RequestContext, type RequestRunner, type RunRefusal,
+} from '../requests/index.js';
+import {type TransactionRunner} from '../transactions/index.js';
+
+/** Methods that belong to the VM that holds the transaction. */
+export type TransactionMethod = 'run' | 'commit' | 'roll-back';
+
+/** Parts that serve the methods of callers. */
+export type CallerHandlerParts = {
+	readonly requests: RequestRunner;
+	readonly transactions: TransactionRunner;
+	readonly membership: Membership;
+	readonly clock: Clock;
+	readonly metrics: Metrics;
+	readonly tracing: Tracing;
+};
+
+type Outcome<T> = Promise<Either<RunRefusal, T>>;
+
+/** The methods of the caller service; those of a transaction are forwarded to the VM that holds it. */
+export class CallerHandlers {
+	constructor(private readonly parts: CallerHandlerParts) {}
+
+	async run(request: RunRequest, context: RequestContext): Outcome<RunResponse> {
+		const result = await this.parts.requests.runRequest({
+			route: request.route, parameters: request.parameters, session: request.session, acceptedStalenessMs: request.acceptedStalenessMs,
+		}, context);
+		return result.map(({answer, session}) => formatAnswer(answer, session));
+	}
+
+	async begin(request: BeginRequest, context: RequestContext): Outcome<BeginResponse> {
+		const result = await this.parts.transactions.begin(request.group, context);
+		return result.bimap(withoutSession, transaction => create(BeginResponseSchema, {transaction}));
+	}
+
+	async runInTransaction(request: RunInTransactionRequest, context: RequestContext): Outcome<RunResponse> {
+		const body = toBinary(RunInTransactionRequestSchema, request);
+		const bytes = await this.#runAtHolder('run', request.transaction, body, context);
+		return bytes.map(answer => fromBinary(RunResponseSchema, answer));
+	}
+
+	async commit(request: CommitRequest, context: RequestContext): Outcome<RunResponse> {
+		const bytes = await this.#runAtHolder('commit', request.transaction, toBinary(CommitRequestSchema, request), context);
+		return bytes.map(answer => fromBinary(RunResponseSchema, answer));
+	}
+
+	async rollBack(request: RollBackRequest, context: RequestContext): Outcome<RollBackResponse> {
+		const bytes = await this.#runAtHolder('roll-back', request.transaction, toBinary(RollBackRequestSchema, request), context);
+		return bytes.map(() => create(RollBackResponseSchema));
+	}
+
+	/** Runs a method of a transaction that this VM holds. */
+	async runLocally(method: TransactionMethod, body: Uint8Array, context: RequestContext): Outcome<Uint8Array> {
+		return this.#localMethods[method](body, context);
+	}
+
+	readonly #localMethods: Readonly<Record<TransactionMethod, (body: Uint8Array, context: RequestContext) => Outcome<Uint8Array>>> = {
+		run: async (body, context) => {
+			const request = fromBinary(RunInTransactionRequestSchema, body);
+			const result = await this.parts.transactions.runStatement(request, context);
+			return result.bimap(withoutSession, answer => toBinary(RunResponseSchema, formatAnswer(answer, '')));
+		},
+		commit: async (body, context) => {
+			const request = fromBinary(CommitRequestSchema, body);
+			const result = await this.parts.transactions.commit(request.transaction, request.session, context);
+			return result.map(({answer, session}) => toBinary(RunResponseSchema, formatAnswer(answer, session)));
+		},
+		'roll-back': async (body, context) => {
+			const request = fromBinary(RollBackRequestSchema, body);
+			const result = await this.parts.transactions.rollBack(request.transaction, context);
+			return result.bimap(withoutSession, () => toBinary(RollBackResponseSchema, create(RollBackResponseSchema)));
+		},
+	};
+
+	async #runAtHolder(method: TransactionMethod, transaction: string, body: Uint8Array, context: RequestContext): Outcome<Uint8Array> {
+		const [vm = '', incarnation = ''] = transaction.split('#');
+		const {membership} = this.parts;
+		if (vm === membership.self.name) {
+			return incarnation === membership.self.incarnation
+				? this.runLocally(method, body, context)
+				: Left(withoutSession(refusals.transactionLost(transaction)));
+		}
+
+		return this.#forward(method, vm, transaction, body, context);
+	}
+
+	async #forward(method: TransactionMethod, vm: string, transaction: string, body: Uint8Array, context: RequestContext): Outcome<Uint8Array> {
+		const {
+			membership, clock, metrics, tracing,
+		} = this.parts;
+		const peer = membership.getPeer(vm);
+		if (peer === undefined) {
+			return Left(withoutSession(refusals.transactionNotFound(transaction)));
+		}
+
+		const startedAt = clock.getNow();
+		try {
+			const response = await tracing.runInSpan('peer forward', context.trace, async own => peer.client.forward({
+				method, body, authorization: context.authorization, idempotencyKey: context.idempotencyKey,
+				timeoutMs: Math.max(1, Math.floor(context.deadline - startedAt)), traceparent: tracing.formatTraceparent(own),
+			}, {timeoutMs: Math.max(1, context.deadline - startedAt)}));
+			metrics.recordDuration('forward', clock.getNow() - startedAt);
+			return response.refusalKind === ''
+				? Right(response.body)
+				: Left({refusal: parseForwardedRefusal(response.refusalKind, response.refusalMessage, response.retryAfterMs), session: response.refusalSession});
+		} catch {
+			const refusal = method === 'commit' ? refusals.outcomeUnknown(`VM "${vm}" did not answer the commit`) : refusals.transactionLost(transaction);
+			return Left(withoutSession(refusal));
+		}
+	}
+}
+
+/** Reads a refusal that came from the VM a request was forwarded to. */
+function parseForwardedRefusal(kind: string, message: string, retryAfterMs: number): Refusal {
+	const known: ErrorKind = isErrorKind(kind) ? kind : 'internal';
+	return new Refusal(known, message, retryAfterMs);
+}
+
+function withoutSession(refusal: Refusal): RunRefusal {
+	return {refusal, session: ''};
+}
+
+function formatAnswer(answer: Answer, session: string): RunResponse {
+	return create(RunResponseSchema, {
+		rows: answer.rows, session, servedBy: answer.servedBy, stalenessMs: answer.stalenessMs, replayed: answer.replayed,
+	});
+}
--- /dev/null
+++ b/packages/proxy/src/services/connect-error.ts
@@ -0,0 +1,44 @@
+import {Code, ConnectError} from '@connectrpc/connect';
+import {RefusalDetailSchema} from '@chicorysaddle/protocol';
+import {Refusal, refusals, type StatusName} from '@chicorysaddle/model';
+
+const codes: Readonly<Record<StatusName, Code>> = {
+	invalid_argument: Code.InvalidArgument,
+	unauthenticated: Code.Unauthenticated,
+	permission_denied: Code.PermissionDenied,
+	not_found: Code.NotFound,
+	failed_precondition: Code.FailedPrecondition,
+	resource_exhausted: Code.ResourceExhausted,
+	unavailable: Code.Unavailable,
+	deadline_exceeded: Code.DeadlineExceeded,
+	aborted: Code.Aborted,
+	unknown: Code.Unknown,
+	internal: Code.Internal,
+};
+
+const msPerSecond = 1000;
+
+/**
+ * Writes a refusal as a Connect error: kind, whether it ran, and when to retry.
+ * @param refusal - The refusal.
+ * @param session - Session token to use from now on, empty for no change.
+ */
+export function formatRefusal(refusal: Refusal, session = ''): ConnectError {
+	const {answer} = refusal;
+	const metadata = new Headers({'chicorysaddle-refusal': refusal.kind, 'chicorysaddle-ran': answer.ran});
+	if (answer.retryable) {
+		metadata.set('retry-after', String(Math.max(1, Math.ceil(refusal.retryAfterMs / msPerSecond))));
+	}
+
+	return new ConnectError(refusal.message, codes[answer.status], metadata, [{
+		desc: RefusalDetailSchema,
+		value: {
+			kind: refusal.kind, ran: answer.ran, retryable: answer.retryable, retryAfterMs: Math.ceil(refusal.retryAfterMs), session,
+		},
+	}]);
+}
+
+/** Returns the refusal that an unexpected error stands for. */
+export function describeUnexpected(error: unknown): Refusal {
+	return error instanceof Refusal ? error : refusals.internal(error instanceof Error ? error.message : String(error));
+}
--- /dev/null
+++ b/packages/proxy/src/services/operator-service.ts
@@ -0,0 +1,131 @@
+import {
+	Code, ConnectError, type ConnectRouter, type Interceptor,
+} from '@connectrpc/connect';
+import {type MessageInitShape} from '@bufbuild/protobuf';
+import {
+	type ApplyChangeRequest, type ApplyChangeResponseSchema, type GetInForceResponseSchema, type GetStatusResponseSchema, OperatorService,
+} from '@chicorysaddle/protocol';
+import {type Freshness} from '@chicorysaddle/decisions';
+import {getBearerToken, hashKey, isSameHash} from '../access/index.js';
+import {type ConfigurationKeeper, formatChange} from '../configuration/index.js';
+import {type GroupRegistry} from '../groups/index.js';
+import {type LeaseKeeper, type Limiter} from '../limits/index.js';
+import {type Membership, type Peer} from '../membership/index.js';
+import {type Clock, type Metrics} from '../observability/index.js';
+import {formatRefusal} from './connect-error.js';
+
+/** Parts of the operator service. */
+export type OperatorServiceParts = {
+	readonly membership: Membership;
+	readonly configuration: ConfigurationKeeper;
+	readonly freshness: Freshness;
+	readonly groups: GroupRegistry;
+	readonly leases: LeaseKeeper;
+	readonly limiter: Limiter;
+	readonly clock: Clock;
+	readonly metrics: Metrics;
+};
+
+const defaultHistoryLength = 20;
+
+/** Returns an interceptor that lets only operators with a known token through. */
+export function createOperatorGuard(tokenHashes: readonly string[]): Interceptor {
+	return next => async request => {
+		const hash = hashKey(getBearerToken(request.header.get('authorization') ?? '') ?? '');
+		if (!tokenHashes.some(known => isSameHash(known, hash))) {
+			throw new ConnectError('the operator token is missing or unknown', Code.Unauthenticated);
+		}
+
+		return next(request);
+	};
+}
+
+/** Returns the routes of the operator service. */
+export function createOperatorRoutes(parts: OperatorServiceParts): (router: ConnectRouter) => void {
+	const {configuration} = parts;
+	return router => {
+		router.service(OperatorService, {
+			getStatus: () => describeStatus(parts),
+			getConfiguration: () => ({version: BigInt(configuration.version), rows: configuration.current.getRows().filter(row => !row.key.startsWith('secret/')) as never}),
+			getHistory: request => ({changes: configuration.getHistory(request.limit || defaultHistoryLength).map(change => formatChange(change))}),
+			applyChange: async request => applyChange(parts, request),
+			getInForce: request => describeInForce(parts, Number(request.version)),
+		});
+	};
+}
+
+async function applyChange({configuration}: OperatorServiceParts, request: ApplyChangeRequest): Promise<MessageInitShape<typeof ApplyChangeResponseSchema>> {
+	const result = await configuration.applyRequest({
+		expectedVersion: Number(request.expectedVersion),
+		author: request.author,
+		summary: request.summary,
+		writeId: request.writeId,
+		rows: request.rows.map(row => ({key: row.key, value: row.value})),
+	});
+	return result.caseOf<MessageInitShape<typeof ApplyChangeResponseSchema>>({
+		Left(refusal) {
+			throw formatRefusal(refusal);
+		},
+		Right: applied => ({
+			result: applied.kind,
+			version: BigInt(applied.version),
+			...(applied.kind === 'conflict' && applied.change !== undefined ? {conflicting: formatChange(applied.change)} : {}),
+		}),
+	});
+}
+
+function describeInForce({membership, configuration, freshness, clock}: OperatorServiceParts, version: number): MessageInitShape<typeof GetInForceResponseSchema> {
+	const now = clock.getNow();
+	const isOwnInForce = configuration.version >= version && freshness.isFresh(configuration.current.getVoters(), now);
+	const isInForce = (peer: Peer) => peer.configurationVersion >= version && membership.isLive(peer, now);
+	const {peers} = membership;
+	const ownName = membership.self.name;
+	return {
+		inForce: [...isOwnInForce ? [ownName] : [], ...peers.filter(peer => isInForce(peer)).map(peer => peer.name)].toSorted(),
+		pending: [...isOwnInForce ? [] : [ownName], ...peers.filter(peer => !isInForce(peer)).map(peer => peer.name)].toSorted(),
+	};
+}
+
+function describePeerState(peer: Peer, isLive: boolean): string {
+	if (!isLive) {
+		return 'not heard';
+	}
+
+	return peer.isDraining ? 'draining' : 'live';
+}
+
+function describeStatus(parts: OperatorServiceParts): MessageInitShape<typeof GetStatusResponseSchema> {
+	const {
+		membership, configuration, freshness, groups, leases, limiter, clock, metrics,
+	} = parts;
+	const now = clock.getNow();
+	const ageMs = freshness.getAgeMs(configuration.current.getVoters(), now);
+	return {
+		vm: membership.self.name,
+		incarnation: membership.self.incarnation,
+		state: membership.isDraining ? 'draining' : 'live',
+		configurationVersion: BigInt(configuration.version),
+		freshnessAgeMs: Number.isFinite(ageMs) ? ageMs : -1,
+		leaseHolder: leases.findHolderVm(now) ?? '',
+		vms: membership.peers.map(peer => ({
+			name: peer.name, zone: peer.zone, state: describePeerState(peer, membership.isLive(peer, now)), configurationVersion: BigInt(peer.configurationVersion),
+		})),
+		instances: groups.getGroups().flatMap(group => group.state.instances.map(instance => ({
+			endpoint: instance.name,
+			group: group.state.name,
+			role: instance.isReachable ? (instance.name === group.state.primaryName ? 'primary' : 'replica') : 'unreachable',
+			term: BigInt(instance.term),
+			offset: BigInt(instance.position.offset),
+			connections: group.getPool(instance.name)?.open ?? 0,
+			inUse: instance.inUse,
+		}))),
+		accounts: configuration.current.getAccountNames().map(account => ({
+			account,
+			rateFraction: limiter.getLocalRate(account) / configuration.current.getAccount(account)!.rate,
+			tokens: limiter.getTokens(account),
+			served: BigInt(metrics.getCount(`admitted.${account}`)),
+			refused: BigInt(metrics.getCount(`refused.${account}`)),
+		})),
+		counters: metrics.getValues(),
+	};
+}
--- /dev/null
+++ b/packages/proxy/src/services/peer-service.ts
@@ -0,0 +1,90 @@
+import {
+	Code, ConnectError, type ConnectRouter, type Interceptor,
+} from '@connectrpc/connect';
+import {type MessageInitShape} from '@bufbuild/protobuf';
+import {type ForwardRequest, type ForwardResponseSchema, PeerService} from '@chicorysaddle/protocol';
+import {type Freshness} from '@chicorysaddle/decisions';
+import {hashKey, isSameHash} from '../access/index.js';
+import {type ConfigurationKeeper, parseChange} from '../configuration/index.js';
+import {
+	formatGrant, type LeaseKeeper, type Limiter, parseReport,
+} from '../limits/index.js';
+import {type Exchange, type Membership, peerSecretHeader} from '../membership/index.js';
+import {type Clock, type Tracing} from '../observability/index.js';
+import {type CallerHandlers, type TransactionMethod} from './caller-handlers.js';
+
+/** Parts of the peer service. */
+export type PeerServiceParts = {
+	readonly membership: Membership;
+	readonly exchange: Exchange;
+	readonly configuration: ConfigurationKeeper;
+	readonly freshness: Freshness;
+	readonly leases: LeaseKeeper;
+	readonly limiter: Limiter;
+	readonly handlers: CallerHandlers;
+	readonly clock: Clock;
+	readonly tracing: Tracing;
+};
+
+const transactionMethods: ReadonlySet<string> = new Set<TransactionMethod>(['run', 'commit', 'roll-back']);
+
+/** Returns an interceptor that lets only peers with the secret through. */
+export function createPeerGuard(secret: string): Interceptor {
+	const expected = hashKey(secret);
+	return next => async request => {
+		if (!isSameHash(hashKey(request.header.get(peerSecretHeader) ?? ''), expected)) {
+			throw new ConnectError('not a peer', Code.Unauthenticated);
+		}
+
+		return next(request);
+	};
+}
+
+/** Returns the routes of the peer service. */
+export function createPeerRoutes(parts: PeerServiceParts): (router: ConnectRouter) => void {
+	const {
+		membership, exchange, configuration, freshness, leases, limiter,
+	} = parts;
+	return router => {
+		router.service(PeerService, {
+			exchange: request => exchange.answer(request),
+			pullConfiguration: request => configuration.createPullResponse(Number(request.fromVersion)),
+			pushConfiguration(request) {
+				configuration.applyChanges(request.changes.map(change => parseChange(change)));
+				return {version: BigInt(configuration.version), synchronized: freshness.isSynchronized, vm: membership.self.name};
+			},
+			promiseLease(request) {
+				const answer = leases.promise({
+					holder: request.holder, term: Number(request.term), durationMs: request.durationMs, predecessor: request.predecessor,
+				}, Number(request.configurationVersion));
+				return {...answer, term: BigInt(answer.term), remainingMs: Math.ceil(answer.remainingMs)};
+			},
+			releaseLease(request) {
+				leases.release(request.holder);
+				return {};
+			},
+			reportDemand: request => formatGrant(limiter.answerReport(parseReport(request))),
+			forward: async request => runForwarded(parts, request),
+		});
+	};
+}
+
+async function runForwarded({handlers, clock, tracing}: PeerServiceParts, request: ForwardRequest): Promise<MessageInitShape<typeof ForwardResponseSchema>> {
+	if (!transactionMethods.has(request.method)) {
+		throw new ConnectError(`no method "${request.method}"`, Code.Unimplemented);
+	}
+
+	const parent = tracing.readContext(request.traceparent);
+	const result = await tracing.runInSpan(`forwarded ${request.method}`, parent, async trace => handlers.runLocally(request.method as TransactionMethod, request.body, {
+		authorization: request.authorization,
+		idempotencyKey: request.idempotencyKey,
+		deadline: clock.getNow() + request.timeoutMs,
+		trace,
+	}));
+	return result.caseOf<MessageInitShape<typeof ForwardResponseSchema>>({
+		Left: ({refusal, session}) => ({
+			refusalKind: refusal.kind, refusalMessage: refusal.message, retryAfterMs: Math.ceil(refusal.retryAfterMs), refusalSession: session,
+		}),
+		Right: body => ({body}),
+	});
+}
--- /dev/null
+++ b/packages/proxy/src/sessions/session-token.ts
@@ -0,0 +1,63 @@
+import {Buffer} from 'node:buffer';
+import {createHmac, timingSafeEqual} from 'node:crypto';
+import {type Either, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import {Session} from '@chicorysaddle/decisions';
+import {type Refusal, refusals} from '@chicorysaddle/model';
+
+const signatureBytes = 16;
+/** Longest token that is read, in characters. */
+export const maxTokenLength = 8192;
+
+const markSchema = z.tuple([z.string(), z.number().int().min(0), z.number().int().min(0), z.union([z.literal(0), z.literal(1)])]);
+const tokenSchema = z.object({a: z.string(), m: z.array(markSchema)});
+
+function signPayload(payload: Uint8Array, secret: string): Uint8Array {
+	return createHmac('sha256', Buffer.from(secret, 'hex')).update(payload).digest().subarray(0, signatureBytes);
+}
+
+/** Writes and reads the opaque session tokens of callers; any proxy with the secret can read them. */
+export class SessionTokenCodec {
+	/** @param getSecret - Returns the signing key in force, as hexadecimal digits. */
+	constructor(private readonly getSecret: () => string | undefined) {}
+
+	/** Writes a token for a session of an account. */
+	formatToken(session: Session, account: string): string {
+		const secret = this.getSecret();
+		if (secret === undefined) {
+			return '';
+		}
+
+		const marks = [...session.getMarks()].map(([group, mark]) => [group, mark.position.term, mark.position.offset, mark.primaryOnly ? 1 : 0]);
+		const payload = Buffer.from(JSON.stringify({a: account, m: marks}));
+		return Buffer.concat([signPayload(payload, secret), payload]).toString('base64url');
+	}
+
+	/**
+	 * Reads a token.
+	 * @param token - Token of the caller, empty for a new session.
+	 * @param account - Client account of the caller.
+	 */
+	parseToken(token: string, account: string): Either<Refusal, Session> {
+		if (token === '') {
+			return Right(new Session());
+		}
+
+		const secret = this.getSecret();
+		if (secret === undefined || token.length > maxTokenLength) {
+			return Left(refusals.invalidSession(secret === undefined ? 'cannot be checked' : 'is too long'));
+		}
+
+		const bytes = Buffer.from(token, 'base64url');
+		const signature = bytes.subarray(0, signatureBytes);
+		const payload = bytes.subarray(signatureBytes);
+		if (signature.length < signatureBytes || !timingSafeEqual(signature, signPayload(payload, secret))) {
+			return Left(refusals.invalidSession('is not genuine'));
+		}
+
+		const {a, m} = tokenSchema.parse(JSON.parse(payload.toString('utf8')));
+		return a === account
+			? Right(new Session(m.map(([group, term, offset, primaryOnly]) => [group, {position: {term, offset}, primaryOnly: primaryOnly === 1}])))
+			: Left(refusals.invalidSession('belongs to another client account'));
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/settings/index.ts
@@ -0,0 +1,2 @@
+export * from './settings.js';
+export * from './load-settings.js';
--- /dev/null
+++ b/packages/proxy/src/settings/load-settings.ts
@@ -0,0 +1,44 @@
+import {readFile} from 'node:fs/promises';
+import {type Either, Left, Right} from 'purify-ts';
+import {parse, TomlError} from 'smol-toml';
+import {type z} from 'zod';
+import {type Settings, settingsSchema} from './settings.js';
+
+function findLine(text: string, path: readonly PropertyKey[]): string {
+	const key = String(path.at(-1) ?? '');
+	const index = text.split('\n').findIndex(line => line.trimStart().startsWith(key) && /^\s*[\w\-]+\s*=/v.test(line));
+	return key === '' || index === -1 ? '' : `:${index + 1}`;
+}
+
+function describeIssue(file: string, text: string, issue: z.core.$ZodIssue): string {
+	const path = issue.code === 'unrecognized_keys' ? [...issue.path, ...issue.keys] : issue.path;
+	return `${file}${findLine(text, path)}: ${path.join('.') || 'settings'}: ${issue.message}`;
+}
+
+/**
+ * Checks settings.
+ * @param file - Name of the file, for messages.
+ * @param text - Contents of the file.
+ * @returns The settings, or one message for each error.
+ */
+export function parseSettings(file: string, text: string): Either<string[], Settings> {
+	try {
+		const result = settingsSchema.safeParse(parse(text));
+		return result.success ? Right(result.data) : Left(result.error.issues.map(issue => describeIssue(file, text, issue)));
+	} catch (error) {
+		if (error instanceof TomlError) {
+			return Left([`${file}:${error.line}:${error.column}: ${error.message.split('\n', 1)[0] ?? ''}`]);
+		}
+
+		throw error;
+	}
+}
+
+/** Reads and checks a file of settings. */
+export async function loadSettings(file: string): Promise<Either<string[], Settings>> {
+	try {
+		return parseSettings(file, await readFile(file, 'utf8'));
+	} catch (error) {
+		return Left([`${file}: cannot be read: ${error instanceof Error ? error.message : String(error)}`]);
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/wiring/container.ts
@@ -0,0 +1,149 @@
+import {randomBytes} from 'node:crypto';
+import 'reflect-metadata';
+import {Container, type ServiceIdentifier} from 'inversify';
+import {Freshness, ReadRouter, RetryBudget} from '@chicorysaddle/decisions';
+import {ConfigurationLog, PlatformClient} from '@chicorysaddle/platform';
+import {AccessGate} from '../access/index.js';
+import {ConfigurationKeeper} from '../configuration/index.js';
+import {HttpEndpointConnector} from '../endpoints/index.js';
+import {GroupRegistry, Promoter} from '../groups/index.js';
+import {LeaseKeeper, Limiter} from '../limits/index.js';
+import {Exchange, Membership} from '../membership/index.js';
+import {
+	type Clock, Logger, Metrics, systemClock, Tracing,
+} from '../observability/index.js';
+import {ClaimRegistry, type RequestParts, RequestRunner} from '../requests/index.js';
+import {CallerHandlers} from '../services/index.js';
+import {SessionTokenCodec} from '../sessions/index.js';
+import {type Settings} from '../settings/index.js';
+import {TransactionRegistry, TransactionRunner} from '../transactions/index.js';
+
+/** Name of the row that holds the signing key of session tokens. */
+export const sessionSecretName = 'session';
+
+const incarnationBytes = 6;
+const idBytes = 12;
+
+/** What the parts are looked up by. */
+export const partNames = {
+	settings: Symbol('settings') as ServiceIdentifier<Settings>,
+	clock: Symbol('clock') as ServiceIdentifier<Clock>,
+	requestParts: Symbol('request parts') as ServiceIdentifier<RequestParts>,
+} as const;
+
+/**
+ * Wires the parts of one proxy.
+ * @param settings - Checked settings.
+ * @param peerAddress - Address of the bound peer port.
+ */
+export function createContainer(settings: Settings, peerAddress: string): Container {
+	const container = new Container({defaultScope: 'Singleton'});
+	container.bind(partNames.settings).toConstantValue(settings);
+	container.bind(partNames.clock).toConstantValue(systemClock);
+	container.bind(Metrics).toConstantValue(new Metrics());
+	container.bind(Logger).toConstantValue(new Logger(settings.log.level, {vm: settings.vm.name}));
+	container.bind(Tracing).toConstantValue(new Tracing({sampleRatio: settings.trace.sample_ratio, otlpUrl: settings.trace.otlp_url}));
+	bindState(container, settings, peerAddress);
+	bindLimits(container, settings);
+	bindGroups(container, settings);
+	bindRequests(container, settings);
+	return container;
+}
+
+function bindState(container: Container, settings: Settings, peerAddress: string): void {
+	const sourceAddress = settings.vm.source_address;
+	container.bind(PlatformClient).toDynamicValue(() => new PlatformClient({address: settings.platform.address, timeoutMs: settings.platform.timeout_ms, sourceAddress})).inSingletonScope();
+	container.bind(Freshness).toDynamicValue(context => new Freshness(settings.vm.name, settings.timeouts.freshness_ms, context.get(partNames.clock).getNow())).inSingletonScope();
+	container.bind(Membership).toDynamicValue(context => new Membership({
+		name: settings.vm.name, zone: settings.vm.zone, address: peerAddress, incarnation: randomBytes(incarnationBytes).toString('hex'),
+	}, context.get(PlatformClient), {secret: settings.peers.secret, sourceAddress}, context.get(partNames.clock))).inSingletonScope();
+	container.bind(ConfigurationKeeper).toDynamicValue(context => new ConfigurationKeeper({
+		log: new ConfigurationLog(context.get(PlatformClient), context.get(PlatformClient)),
+		freshness: context.get(Freshness),
+		membership: context.get(Membership),
+		clock: context.get(partNames.clock),
+		logger: context.get(Logger),
+	})).inSingletonScope();
+	container.bind(AccessGate).toDynamicValue(context => {
+		const configuration = context.get(ConfigurationKeeper).current;
+		const freshness = context.get(Freshness);
+		const clock = context.get(partNames.clock);
+		return new AccessGate({
+			configuration,
+			isFresh: () => freshness.isFresh(configuration.getVoters(), clock.getNow()),
+			getAgeMs: () => freshness.getAgeMs(configuration.getVoters(), clock.getNow()),
+		});
+	}).inSingletonScope();
+}
+
+function bindLimits(container: Container, settings: Settings): void {
+	container.bind(LeaseKeeper).toDynamicValue(context => new LeaseKeeper(context.get(Membership), context.get(ConfigurationKeeper), context.get(partNames.clock), context.get(Logger))).inSingletonScope();
+	container.bind(Limiter).toDynamicValue(context => new Limiter({
+		membership: context.get(Membership),
+		configuration: context.get(ConfigurationKeeper),
+		leases: context.get(LeaseKeeper),
+		clock: context.get(partNames.clock),
+		metrics: context.get(Metrics),
+		policy: settings.policy.limits,
+	})).inSingletonScope();
+}
+
+function bindGroups(container: Container, settings: Settings): void {
+	container.bind(Promoter).toDynamicValue(context => new Promoter(context.get(LeaseKeeper).id, context.get(PlatformClient), context.get(partNames.clock), context.get(Logger), context.get(Metrics))).inSingletonScope();
+	container.bind(GroupRegistry).toDynamicValue(context => new GroupRegistry(
+		settings.vm.name,
+		new HttpEndpointConnector({connectTimeoutMs: settings.timeouts.endpoint_connect_ms, sourceAddress: settings.vm.source_address}),
+		context.get(Promoter),
+		context.get(partNames.clock),
+		settings.policy.queue,
+	)).inSingletonScope();
+	container.bind(Exchange).toDynamicValue(context => new Exchange({
+		membership: context.get(Membership),
+		configuration: context.get(ConfigurationKeeper),
+		freshness: context.get(Freshness),
+		groups: context.get(GroupRegistry),
+		leases: context.get(LeaseKeeper),
+		clock: context.get(partNames.clock),
+		timeoutMs: settings.peers.timeout_ms,
+	})).inSingletonScope();
+}
+
+function bindRequests(container: Container, settings: Settings): void {
+	container.bind(partNames.requestParts).toDynamicValue(context => {
+		const configuration = context.get(ConfigurationKeeper);
+		return {
+			gate: context.get(AccessGate),
+			configuration,
+			groups: context.get(GroupRegistry),
+			limiter: context.get(Limiter),
+			sessions: new SessionTokenCodec(() => configuration.current.getSecret(sessionSecretName)),
+			claims: new ClaimRegistry(context.get(PlatformClient)),
+			router: new ReadRouter(settings.vm.zone, settings.policy.reads),
+			retryBudget: new RetryBudget(),
+			clock: context.get(partNames.clock),
+			metrics: context.get(Metrics),
+			tracing: context.get(Tracing),
+			acknowledge: settings.policy.acknowledge,
+			getRandom: () => randomBytes(1)[0]! / 256,
+			createId: () => randomBytes(idBytes).toString('base64url'),
+		};
+	}).inSingletonScope();
+	container.bind(RequestRunner).toDynamicValue(context => new RequestRunner(context.get(partNames.requestParts))).inSingletonScope();
+	container.bind(TransactionRegistry).toDynamicValue(context => new TransactionRegistry({
+		idleMs: settings.timeouts.transaction_idle_ms, totalMs: settings.timeouts.transaction_total_ms,
+	}, context.get(partNames.clock))).inSingletonScope();
+	container.bind(TransactionRunner).toDynamicValue(context => new TransactionRunner({
+		...context.get(partNames.requestParts),
+		registry: context.get(TransactionRegistry),
+		requests: context.get(RequestRunner),
+		idPrefix: context.get(LeaseKeeper).id,
+	})).inSingletonScope();
+	container.bind(CallerHandlers).toDynamicValue(context => new CallerHandlers({
+		requests: context.get(RequestRunner),
+		transactions: context.get(TransactionRunner),
+		membership: context.get(Membership),
+		clock: context.get(partNames.clock),
+		metrics: context.get(Metrics),
+		tracing: context.get(Tracing),
+	})).inSingletonScope();
+}
--- /dev/null
+++ b/packages/proxy/src/wiring/index.ts
@@ -0,0 +1,2 @@
+export * from './proxy.js';
+export * from './container.js';
--- /dev/null
+++ b/packages/proxy/src/wiring/proxy.ts
@@ -0,0 +1,205 @@
+import {type Container} from 'inversify';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {Freshness} from '@chicorysaddle/decisions';
+import {PlatformClient} from '@chicorysaddle/platform';
+import {AccessGate} from '../access/index.js';
+import {ConfigurationKeeper} from '../configuration/index.js';
+import {GroupRegistry} from '../groups/index.js';
+import {LeaseKeeper, Limiter} from '../limits/index.js';
+import {Exchange, Membership} from '../membership/index.js';
+import {
+	Logger, Metrics, RepeatedTask, Tracing,
+} from '../observability/index.js';
+import {createHealthListener, Listeners, serveCallers} from '../server/index.js';
+import {
+	CallerHandlers, createCallerRoutes, createOperatorGuard, createOperatorRoutes, createPeerGuard, createPeerRoutes,
+} from '../services/index.js';
+import {type Settings} from '../settings/index.js';
+import {TransactionRegistry} from '../transactions/index.js';
+import {createContainer, partNames} from './container.js';
+import {joinVoters} from './voter-joining.js';
+
+/** Pauses of the repeated tasks, in milliseconds. */
+const pauses = {
+	vmList: 2000,
+	storePoll: 1000,
+	lease: 200,
+	demand: 500,
+	groups: 100,
+	sweep: 250,
+	voters: 2000,
+} as const;
+
+/** One running proxy. */
+export class Proxy {
+	readonly #listeners: Listeners;
+	readonly #tasks: RepeatedTask[] = [];
+	readonly #container: Container;
+	#isClosed = false;
+
+	private constructor(private readonly settings: Settings, listeners: Listeners) {
+		this.#listeners = listeners;
+		this.#container = createContainer(settings, `${settings.vm.address}:${listeners.peerPort}`);
+	}
+
+	get callerPort(): number {
+		return this.#listeners.callerPort;
+	}
+
+	get operatorPort(): number {
+		return this.#listeners.operatorPort;
+	}
+
+	get peerPort(): number {
+		return this.#listeners.peerPort;
+	}
+
+	/** Binds the ports and starts to work. */
+	static async start(settings: Settings): Promise<Proxy> {
+		const listeners = new Listeners(settings);
+		await listeners.open();
+		const proxy = new Proxy(settings, listeners);
+		proxy.#serve();
+		proxy.#startTasks();
+		proxy.#get(Logger).info('proxy started', {caller: proxy.callerPort, peer: proxy.peerPort, operator: proxy.operatorPort});
+		return proxy;
+	}
+
+	/** Whether new requests are welcome. */
+	isReady(): boolean {
+		return !this.#get(Membership).isDraining && this.#get(AccessGate).checkIdentity({account: '', keyHash: ''}).isRight() && this.#get(ConfigurationKeeper).version > 0;
+	}
+
+	/** Becomes unready, finishes what is in flight, gives shares back and closes. */
+	async drain(): Promise<void> {
+		const {timeouts} = this.settings;
+		const logger = this.#get(Logger);
+		logger.info('drain started');
+		this.#get(Membership).isDraining = true;
+		await wait(timeouts.drain_grace_ms);
+		await this.#finishTransactions(timeouts.drain_limit_ms);
+		await this.#listeners.closeCallers(timeouts.drain_limit_ms);
+		await this.#get(Limiter).leave();
+		logger.info('drain ended');
+		await this.close();
+	}
+
+	/** Stops everything at once. */
+	async close(): Promise<void> {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#isClosed = true;
+		for (const task of this.#tasks) {
+			task.stop();
+		}
+
+		await this.#listeners.closeCallers(0);
+		this.#listeners.closeControl();
+		this.#get(GroupRegistry).close();
+		this.#get(Membership).close();
+		this.#get(PlatformClient).close();
+		await this.#get(Tracing).close();
+	}
+
+	#get<T>(part: new (...parameters: never[]) => T): T {
+		return this.#container.get(part as never);
+	}
+
+	async #finishTransactions(limitMs: number): Promise<void> {
+		const stepMs = 50;
+		const registry = this.#get(TransactionRegistry);
+		for (let waitedMs = 0; registry.size > 0 && waitedMs < limitMs; waitedMs += stepMs) {
+			await wait(stepMs);
+		}
+	}
+
+	#serve(): void {
+		const clock = this.#container.get(partNames.clock);
+		const {timeouts, requests, peers, operator} = this.settings;
+		const parts = {
+			membership: this.#get(Membership),
+			exchange: this.#get(Exchange),
+			configuration: this.#get(ConfigurationKeeper),
+			freshness: this.#get(Freshness),
+			groups: this.#get(GroupRegistry),
+			leases: this.#get(LeaseKeeper),
+			limiter: this.#get(Limiter),
+			handlers: this.#get(CallerHandlers),
+			metrics: this.#get(Metrics),
+			tracing: this.#get(Tracing),
+			clock,
+		};
+		serveCallers(this.#listeners, createCallerRoutes({...parts, deadlines: {defaultMs: timeouts.default_deadline_ms, longestMs: timeouts.longest_deadline_ms}}), {
+			maxBodyBytes: requests.max_body_bytes,
+			longestDeadlineMs: timeouts.longest_deadline_ms,
+			isDraining: () => parts.membership.isDraining,
+		});
+		this.#listeners.peer.on('request', connectNodeAdapter({routes: createPeerRoutes(parts), interceptors: [createPeerGuard(peers.secret)]}));
+		const operatorAdapter = connectNodeAdapter({routes: createOperatorRoutes(parts), interceptors: [createOperatorGuard(operator.token_hashes)]});
+		this.#listeners.operator.on('request', createHealthListener({isReady: () => this.isReady(), metrics: parts.metrics}, operatorAdapter));
+		this.#addGauges();
+	}
+
+	#addGauges(): void {
+		const metrics = this.#get(Metrics);
+		const {counters} = this.#get(PlatformClient);
+		for (const name of Object.keys(counters) as Array<keyof typeof counters>) {
+			metrics.addGauge(`platform.${name}`, () => counters[name]);
+		}
+
+		metrics.addGauge('transactions.open', () => this.#get(TransactionRegistry).size);
+		metrics.addGauge('queue.waiting', () => this.#get(GroupRegistry).getGroups().reduce((sum, group) => sum + group.dispatcher.waiting, 0));
+	}
+
+	#startTasks(): void {
+		const configuration = this.#get(ConfigurationKeeper);
+		const membership = this.#get(Membership);
+		const groups = this.#get(GroupRegistry);
+		const exchange = this.#get(Exchange);
+		const gate = this.#get(AccessGate);
+		const registry = this.#get(TransactionRegistry);
+		const sweep = () => {
+			registry.sweep(caller => gate.checkIdentity(caller).isRight());
+		};
+
+		configuration.addListener(rows => {
+			if (rows.some(row => row.kind === 'endpoint' || row.kind === 'group')) {
+				groups.configure(configuration.current, membership.getVms());
+			}
+
+			if (rows.some(row => row.kind === 'key' || row.kind === 'account')) {
+				sweep();
+			}
+		});
+		this.#repeat('store poll', pauses.storePoll, async () => {
+			await configuration.pollStore();
+		});
+		this.#repeat('VM list', pauses.vmList, async () => {
+			await membership.refresh();
+			groups.configure(configuration.current, membership.getVms());
+		});
+		this.#repeat('exchange', this.settings.peers.exchange_ms, async () => exchange.askAll());
+		this.#repeat('lease', pauses.lease, async () => this.#get(LeaseKeeper).advance());
+		this.#repeat('demand', pauses.demand, async () => this.#get(Limiter).reportDemand());
+		this.#repeat('groups', pauses.groups, () => {
+			groups.advance();
+			exchange.askAboutFailures();
+		});
+		this.#repeat('sweep', pauses.sweep, sweep);
+		this.#repeat('voters', pauses.voters, async () => joinVoters(configuration, membership, this.#container.get(partNames.clock)));
+	}
+
+	#repeat(name: string, pauseMs: number, task: () => Promise<void> | void): void {
+		const repeated = new RepeatedTask(name, () => pauseMs, task, this.#get(Logger));
+		this.#tasks.push(repeated);
+		repeated.start();
+	}
+}
+
+async function wait(durationMs: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, durationMs);
+	});
+}
--- /dev/null
+++ b/packages/testkit/src/embedded/main.ts
@@ -0,0 +1,54 @@
+import {randomBytes} from 'node:crypto';
+import process from 'node:process';
+import {hashKey, Proxy, settingsSchema} from '@chicorysaddle/proxy';
+import {createDeployment} from '../stand-ins/index.js';
+import {bootstrapConfiguration} from './bootstrap.js';
+
+const callerPort = Number(process.env.PORT ?? 7000);
+
+/** Runs one proxy before an embedded platform and three embedded database groups. */
+async function runEmbedded(): Promise<void> {
+	const key = `csk_${randomBytes(12).toString('hex')}`;
+	const deployment = await createDeployment({
+		groups: ['inspections', 'reports', 'certificates'], zones: ['quimper', 'lorient', 'saint-brieuc'], slots: 5, connections: 30,
+	});
+	const operatorToken = randomBytes(12).toString('hex');
+	await bootstrapConfiguration(deployment, {
+		accounts: [{
+			name: 'demo', rate: 50, burst: 50, key,
+		}], voters: ['local'],
+	});
+	const proxy = await Proxy.start(settingsSchema.parse({
+		vm: {name: 'local', zone: 'quimper'},
+		ports: {caller: callerPort, peer: 0, operator: 0},
+		platform: {address: `127.0.0.1:${deployment.platform.port}`},
+		peers: {secret: randomBytes(16).toString('hex')},
+		operator: {token_hashes: [hashKey(operatorToken)]},
+		log: {level: 'warn'},
+	}));
+	const base = `http://127.0.0.1:${proxy.callerPort}/chicorysaddle.caller.v1.DatabaseService`;
+	const curl = (method: string, body: string, extra = '') => `curl -s ${base}/${method} -H 'Authorization: Bearer ${key}' -H 'Content-Type: application/json'${extra} -d '${body}'`;
+	process.stdout.write([
+		'chicorysaddle runs with an embedded platform and three database groups of three instances.',
+		`caller port    http://127.0.0.1:${proxy.callerPort}`,
+		`operator port  http://127.0.0.1:${proxy.operatorPort} (token ${operatorToken}; /readyz, /livez and /metrics need none)`,
+		`key            ${key}`,
+		'',
+		'Write, read back, and begin a transaction:',
+		curl('Run', '{"route": "inspections.file", "parameters": {"key": "house-1", "value": "damp in the cellar"}}', ' -H \'Idempotency-Key: first-try\''),
+		curl('Run', '{"route": "inspections.get", "parameters": {"key": "house-1"}}'),
+		curl('Begin', '{"group": "inspections"}'),
+		'',
+	].join('\n'));
+	const stop = () => {
+		void proxy.drain().then(() => {
+			deployment.stop();
+			process.exit(0);
+		});
+	};
+
+	process.once('SIGINT', stop);
+	process.once('SIGTERM', stop);
+}
+
+await runEmbedded();
--- /dev/null
+++ b/packages/testkit/src/stand-ins/platform-server.ts
@@ -0,0 +1,111 @@
+import {createServer, type Http2Server} from 'node:http2';
+import {type AddressInfo} from 'node:net';
+import {
+	Code, ConnectError, createContextKey, createContextValues,
+} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {
+	type CompareAndSetRequest, ObjectService, type ReadRequest, TableService, VmListService,
+} from '@chicorysaddle/protocol';
+import {type ListedVm} from '@chicorysaddle/platform';
+
+const sourceKey = createContextKey<string>('', {description: 'source address'});
+
+/** A platform that keeps its table, objects and VM list in memory, with faults. */
+export class PlatformServer {
+	/** Whether the table and the object store answer. */
+	isDown = false;
+	/** Delay of every answer, in milliseconds. */
+	delayMs = 2;
+	/** Returns whether the answer to a write is lost after it took effect. */
+	isAnswerLost: () => boolean = () => false;
+	/** Source addresses that reach neither table nor object store. */
+	readonly blockedSources = new Set<string>();
+	/** Returns the list as a caller at an address sees it. */
+	listVms: (source: string) => ListedVm[] = () => [];
+	readonly counters = {reads: 0, writes: 0};
+	readonly #rows = new Map<string, {version: number; value: string}>();
+	readonly #objects = new Map<string, Uint8Array>();
+	#server: Http2Server | undefined;
+
+	get port(): number {
+		return (this.#server!.address() as AddressInfo).port;
+	}
+
+	async start(): Promise<void> {
+		const adapter = connectNodeAdapter({
+			routes: router => {
+				router.service(TableService, {
+					read: async (request, context) => {
+						this.counters.reads += 1;
+						await this.#pass(context.values.get(sourceKey));
+						return this.#read(request);
+					},
+					compareAndSet: async (request, context) => {
+						this.counters.writes += 1;
+						await this.#pass(context.values.get(sourceKey));
+						const answer = this.#compareAndSet(request);
+						if (this.isAnswerLost()) {
+							throw new ConnectError('answer lost', Code.Unavailable);
+						}
+
+						return answer;
+					},
+				});
+				router.service(ObjectService, {
+					put: async (request, context) => {
+						await this.#pass(context.values.get(sourceKey));
+						this.#objects.set(request.key, request.body);
+						return {};
+					},
+					get: async (request, context) => {
+						await this.#pass(context.values.get(sourceKey));
+						const body = this.#objects.get(request.key);
+						return {found: body !== undefined, body: body ?? new Uint8Array()};
+					},
+				});
+				router.service(VmListService, {list: (_request, context) => ({vms: this.listVms(context.values.get(sourceKey))})});
+			},
+			contextValues: request => createContextValues().set(sourceKey, request.socket.remoteAddress ?? ''),
+		});
+		this.#server = createServer(adapter);
+		await new Promise<void>(resolve => {
+			this.#server!.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	stop(): void {
+		this.#server?.close();
+	}
+
+	async #pass(source: string): Promise<void> {
+		await new Promise(resolve => {
+			setTimeout(resolve, this.delayMs);
+		});
+		if (this.isDown || this.blockedSources.has(source)) {
+			throw new ConnectError('the store is out', Code.Unavailable);
+		}
+	}
+
+	#read(request: ReadRequest): {rows: Array<{key: string; version: bigint; value: string}>} {
+		return {
+			rows: request.keys.map(key => {
+				const row = this.#rows.get(key);
+				return {key, version: BigInt(row?.version ?? 0), value: row?.value ?? ''};
+			}),
+		};
+	}
+
+	#compareAndSet(request: CompareAndSetRequest): {applied: boolean; conflictingKey: string} {
+		const conflict = request.writes.find(write => (this.#rows.get(write.key)?.version ?? 0) !== Number(write.expectedVersion));
+		if (conflict !== undefined) {
+			return {applied: false, conflictingKey: conflict.key};
+		}
+
+		for (const write of request.writes) {
+			this.#rows.set(write.key, {version: Number(write.expectedVersion) + 1, value: write.value});
+		}
+
+		return {applied: true, conflictingKey: ''};
+	}
+}
