Measure seven daemons from a recorded history

'npm run measure' starts seven daemons as processes with stand-ins, links that can be cut, and a load of eight accounts, and works out figures and violations from the callers' and the stand-ins' records.

Found by it and mended here: connections of a VM that the platform does not list yet (it took 28 of 30); voters removed by a starting VM whose list was empty; fractional timeouts that made every forwarded statement fail; an admission estimate that refused small accounts before asking the allocator; readiness before an allocator is known.

--- a/packages/decisions/src/limits/admission-control.ts
+++ b/packages/decisions/src/limits/admission-control.ts
@@ -15,6 +15,11 @@
 /** Longest time that a request waits for a token, in milliseconds. */
 export const longestAdmissionWaitMs = 400;
 
+/** Share of a rate that a VM may hope for from a pool that was empty. */
+const starvedPoolShare = 0.05;
+/** Time for which a pool counts as empty after it was, in milliseconds. */
+const starvedMs = 250;
+
 const demandTimeConstantMs = 1000;
 const forgottenWeight = 0.01;
 
@@ -23,6 +28,8 @@
 	readonly #holder: ShareHolder;
 	readonly #waiters = new Map<string, Waiter[]>();
 	readonly #arrivals = new Map<string, Arrivals>();
+	/** Time at which the allocator last had no token for an account's waiting requests. */
+	readonly #starvedAt = new Map<string, number>();
 
 	constructor(private readonly getLimits: LimitsLookup) {
 		this.#holder = new ShareHolder(getLimits);
@@ -101,6 +108,11 @@
 
 	applyGrant(grant: ShareGrant, sentAt: number, isPartial: boolean, now: number): void {
 		this.#holder.applyGrant(grant, sentAt, isPartial, now);
+		for (const {account, tokens} of grant.accounts) {
+			if (tokens < 1 && this.#waiters.has(account)) {
+				this.#starvedAt.set(account, now);
+			}
+		}
 	}
 
 	#getAppliedSequence(now: number): number {
@@ -156,7 +168,9 @@
 		}
 
 		const missing = Math.max(0, ahead + 1 - this.#holder.getTokens(account, now));
-		const rate = this.#holder.getRate(account, now) || limits.rate / 2;
+		// Until the allocator has just said otherwise, the pool can be hoped for.
+		const isStarved = now - (this.#starvedAt.get(account) ?? Number.NEGATIVE_INFINITY) < starvedMs;
+		const rate = Math.max(this.#holder.getRate(account, now), limits.rate * (isStarved ? starvedPoolShare : 1));
 		return (missing / rate) * 1000;
 	}
 }
--- a/packages/decisions/src/limits/share-allocator.ts
+++ b/packages/decisions/src/limits/share-allocator.ts
@@ -123,10 +123,11 @@
 
 		const {part, total} = this.#getDemandPart(demand);
 		const wanted = this.#chooseTokens(demand, pool, limits.rate);
-		const burst = clampFraction(Math.max(this.options.localBurstShare * part, (demand.heldTokens + wanted) / limits.burst), 1 - others.burst);
-		const localRateShare = total > limits.rate ? Math.max(this.options.localRateShare, saturatedRateShare(this.options)) : this.options.localRateShare;
+		const localRateShare = total > limits.rate ? saturatedRateShare(this.options) : this.options.localRateShare;
+		const localBurst = clampFraction(this.options.localBurstShare * part, this.options.localBurstShare - others.burst);
+		const burst = clampFraction(Math.max(localBurst, (demand.heldTokens + wanted) / limits.burst), 1 - others.burst);
 		// A bucket that cannot hold one token would let its rate run to waste.
-		const rate = burst * limits.burst < 1 ? 0 : clampFraction(localRateShare * part, 1 - others.rate);
+		const rate = burst * limits.burst < 1 ? 0 : clampFraction(localRateShare * part, localRateShare - others.rate);
 		const tokens = Math.max(0, Math.min(wanted, (burst * limits.burst) - demand.heldTokens));
 		const remaining = Math.max(0, 1 - others.burst - Math.max(burst, before.burst));
 		pool.level = Math.min(pool.level - tokens, remaining * limits.burst);
--- a/packages/proxy/src/endpoints/endpoint-pool.ts
+++ b/packages/proxy/src/endpoints/endpoint-pool.ts
@@ -1,7 +1,7 @@
 import {type EndpointConnectionPort, type EndpointConnector} from './endpoint-port.js';
 
-/** Connections that all VMs together leave unused, for a VM that has just started. */
-const spareConnections = 2;
+/** Connections that all VMs together leave unused, for a VM that is not listed yet. */
+export const spareConnections = 2;
 
 /**
  * Returns how many connections one VM may have to an instance.
@@ -9,7 +9,7 @@
  * @param vms - Number of VMs known.
  */
 export function getConnectionShare(connections: number, vms: number): number {
-	return Math.max(2, Math.floor((connections - spareConnections) / Math.max(1, vms)));
+	return Math.max(spareConnections, Math.floor((connections - spareConnections) / Math.max(1, vms)));
 }
 
 /** The connections of this VM to one instance: one for control, the others for requests. */
--- a/packages/proxy/src/groups/group-registry.ts
+++ b/packages/proxy/src/groups/group-registry.ts
@@ -52,12 +52,22 @@
 		return this.#watchers.get(group) ?? [];
 	}
 
-	/** Brings the groups in line with the configuration and the VMs known. */
-	configure(configuration: Configuration, vms: readonly Watcher[]): void {
+	/** Whether every instance has been probed. */
+	get isExamined(): boolean {
+		return this.getGroups().every(group => group.isExamined);
+	}
+
+	/**
+	 * Brings the groups in line with the configuration and the VMs known.
+	 * @param configuration - Configuration in force.
+	 * @param vms - VMs that can watch groups.
+	 * @param sharers - Number of VMs that share the connections of an instance.
+	 */
+	configure(configuration: Configuration, vms: readonly Watcher[], sharers: number): void {
 		for (const name of configuration.getGroupNames()) {
 			const group = this.#groups.get(name) ?? new Group(name, this.connector, this.clock, this.queuePolicy);
 			this.#groups.set(name, group);
-			group.configure(configuration.getEndpoints(name), vms.length);
+			group.configure(configuration.getEndpoints(name), sharers);
 			const watchers = chooseWatchers(name, vms);
 			this.#watchers.set(name, watchers);
 			group.isWatched = watchers.includes(this.vm);
--- a/packages/proxy/src/groups/group.ts
+++ b/packages/proxy/src/groups/group.ts
@@ -36,6 +36,7 @@
 	readonly #pools = new Map<string, EndpointPool>();
 	readonly #lastHeard = new Map<string, number>();
 	readonly #lastProbed = new Map<string, number>();
+	readonly #examined = new Set<string>();
 
 	constructor(name: string, private readonly connector: EndpointConnector, private readonly clock: Clock, queuePolicy: QueuePolicyName) {
 		this.state = new GroupState(name);
@@ -65,6 +66,11 @@
 		this.dispatcher.advance();
 	}
 
+	/** Whether every instance has been probed. */
+	get isExamined(): boolean {
+		return this.state.instances.every(instance => this.#examined.has(instance.name));
+	}
+
 	/** Takes in which instance leads which term. */
 	observePrimary(term: number, name: string): void {
 		if (this.state.observePrimary(term, name)) {
@@ -104,6 +110,7 @@
 		const sentAt = this.clock.getNow();
 		this.#lastProbed.set(instance.name, sentAt);
 		const status = await control?.probe(create(ProbeRequestSchema), {timeoutMs: probeTimeoutMs});
+		this.#examined.add(instance.name);
 		status?.caseOf({
 			Left() {
 				instance.observeUnreachable(sentAt);
@@ -168,6 +175,7 @@
 	#removeInstance(name: string): void {
 		this.#pools.get(name)?.close();
 		this.#pools.delete(name);
+		this.#examined.delete(name);
 		this.state.removeInstance(name);
 	}
 }
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -20,7 +20,7 @@
 sade('chicorysaddled <settings>', true)
 	.version('0.1.0')
 	.describe('Runs one proxy with the settings of a TOML file.')
-	.option('--check', 'Check the settings and exit')
+	.option('--check', 'Check the settings and exit', false)
 	.example('/etc/chicorysaddle/vm.toml')
 	.example('--check /etc/chicorysaddle/vm.toml')
 	.action(async (file: string, options: {check?: boolean}) => {
--- a/packages/proxy/src/membership/membership.ts
+++ b/packages/proxy/src/membership/membership.ts
@@ -42,6 +42,14 @@
 		return [{name: this.self.name, zone: this.self.zone}, ...this.peers.map(peer => ({name: peer.name, zone: peer.zone}))];
 	}
 
+	/**
+	 * Returns how many VMs share the connections of an endpoint, infinitely many while this one is not listed,
+	 * since the others do not count it yet.
+	 */
+	countSharers(voters: readonly string[]): number {
+		return this.isListed(this.self.name) ? Math.max(this.getVms().length, voters.length) : Number.POSITIVE_INFINITY;
+	}
+
 	/** Returns the VMs that answer and take work, this one included, in order of name. */
 	getLiveVms(): string[] {
 		const now = this.clock.getNow();
--- a/packages/proxy/src/observability/logger.ts
+++ b/packages/proxy/src/observability/logger.ts
@@ -6,7 +6,7 @@
 /** Values that a log line may carry. */
 export type LogContext = Readonly<Record<string, string | number | boolean | undefined>>;
 
-/** Writes JSON lines to standard output. */
+/** Writes JSON lines to standard output, in a process that was started with Roarr switched on. */
 export class Logger {
 	readonly #roarr;
 	readonly #lowest: number;
--- a/packages/proxy/src/services/caller-handlers.ts
+++ b/packages/proxy/src/services/caller-handlers.ts
@@ -107,11 +107,13 @@
 		}
 
 		const startedAt = clock.getNow();
+		// Connect takes whole milliseconds only.
+		const timeoutMs = Math.max(1, Math.floor(context.deadline - startedAt));
 		try {
 			const response = await tracing.runInSpan('peer forward', context.trace, async own => peer.client.forward({
 				method, body, authorization: context.authorization, idempotencyKey: context.idempotencyKey,
-				timeoutMs: Math.max(1, Math.floor(context.deadline - startedAt)), traceparent: tracing.formatTraceparent(own),
-			}, {timeoutMs: Math.max(1, context.deadline - startedAt)}));
+				timeoutMs, traceparent: tracing.formatTraceparent(own),
+			}, {timeoutMs}));
 			metrics.recordDuration('forward', clock.getNow() - startedAt);
 			return response.refusalKind === ''
 				? Right(response.body)
--- a/packages/proxy/src/services/operator-service.ts
+++ b/packages/proxy/src/services/operator-service.ts
@@ -81,6 +81,7 @@
 	const {peers} = membership;
 	const ownName = membership.self.name;
 	return {
+		ownVersion: BigInt(configuration.version),
 		inForce: [...isOwnInForce ? [ownName] : [], ...peers.filter(peer => isInForce(peer)).map(peer => peer.name)].toSorted(),
 		pending: [...isOwnInForce ? [] : [ownName], ...peers.filter(peer => !isInForce(peer)).map(peer => peer.name)].toSorted(),
 	};
--- a/packages/proxy/src/settings/settings.ts
+++ b/packages/proxy/src/settings/settings.ts
@@ -26,7 +26,6 @@
 
 const peersSchema = z.strictObject({
 	secret: z.string().min(16).describe('Secret that proxies show one another'),
-	seeds: z.array(hostPort).default([]).describe('Peer ports to ask while the VM list cannot be read'),
 	exchange_ms: duration.default(1000).describe('Time between two exchanges with a peer'),
 	timeout_ms: duration.default(700).describe('Longest wait for an answer of a peer'),
 });
--- a/packages/proxy/src/wiring/container.ts
+++ b/packages/proxy/src/wiring/container.ts
@@ -8,7 +8,7 @@
 import {HttpEndpointConnector} from '../endpoints/index.js';
 import {GroupRegistry, Promoter} from '../groups/index.js';
 import {LeaseKeeper, Limiter} from '../limits/index.js';
-import {Exchange, Membership} from '../membership/index.js';
+import {Exchange, Membership, VoterKeeper} from '../membership/index.js';
 import {
 	type Clock, Logger, Metrics, systemClock, Tracing,
 } from '../observability/index.js';
@@ -64,6 +64,7 @@
 		clock: context.get(partNames.clock),
 		logger: context.get(Logger),
 	})).inSingletonScope();
+	container.bind(VoterKeeper).toDynamicValue(context => new VoterKeeper(context.get(ConfigurationKeeper), context.get(Membership), context.get(partNames.clock))).inSingletonScope();
 	container.bind(AccessGate).toDynamicValue(context => {
 		const configuration = context.get(ConfigurationKeeper).current;
 		const freshness = context.get(Freshness);
--- a/packages/proxy/src/wiring/proxy.ts
+++ b/packages/proxy/src/wiring/proxy.ts
@@ -6,7 +6,7 @@
 import {ConfigurationKeeper} from '../configuration/index.js';
 import {GroupRegistry} from '../groups/index.js';
 import {LeaseKeeper, Limiter} from '../limits/index.js';
-import {Exchange, Membership} from '../membership/index.js';
+import {Exchange, Membership, VoterKeeper} from '../membership/index.js';
 import {
 	Logger, Metrics, RepeatedTask, Tracing,
 } from '../observability/index.js';
@@ -17,7 +17,6 @@
 import {type Settings} from '../settings/index.js';
 import {TransactionRegistry} from '../transactions/index.js';
 import {createContainer, partNames} from './container.js';
-import {joinVoters} from './voter-joining.js';
 
 /** Pauses of the repeated tasks, in milliseconds. */
 const pauses = {
@@ -67,7 +66,8 @@
 
 	/** Whether new requests are welcome. */
 	isReady(): boolean {
-		return !this.#get(Membership).isDraining && this.#get(AccessGate).checkIdentity({account: '', keyHash: ''}).isRight() && this.#get(ConfigurationKeeper).version > 0;
+		const hasAllocator = this.settings.policy.limits !== 'product' || this.#get(LeaseKeeper).findHolderVm(this.#container.get(partNames.clock).getNow()) !== undefined;
+		return !this.#get(Membership).isDraining && hasAllocator && this.#get(AccessGate).checkIdentity({account: '', keyHash: ''}).isRight() && this.#get(ConfigurationKeeper).version > 0 && this.#get(GroupRegistry).isExamined;
 	}
 
 	/** Becomes unready, finishes what is in flight, gives shares back and closes. */
@@ -160,13 +160,17 @@
 		const exchange = this.#get(Exchange);
 		const gate = this.#get(AccessGate);
 		const registry = this.#get(TransactionRegistry);
+		const configureGroups = () => {
+			groups.configure(configuration.current, membership.getVms(), membership.countSharers(configuration.current.getVoters()));
+		};
+
 		const sweep = () => {
 			registry.sweep(caller => gate.checkIdentity(caller).isRight());
 		};
 
 		configuration.addListener(rows => {
 			if (rows.some(row => row.kind === 'endpoint' || row.kind === 'group')) {
-				groups.configure(configuration.current, membership.getVms());
+				configureGroups();
 			}
 
 			if (rows.some(row => row.kind === 'key' || row.kind === 'account')) {
@@ -177,8 +181,10 @@
 			await configuration.pollStore();
 		});
 		this.#repeat('VM list', pauses.vmList, async () => {
+			const known = membership.peers;
 			await membership.refresh();
-			groups.configure(configuration.current, membership.getVms());
+			configureGroups();
+			await Promise.all(membership.peers.filter(peer => !known.includes(peer)).map(async peer => exchange.askPeer(peer)));
 		});
 		this.#repeat('exchange', this.settings.peers.exchange_ms, async () => exchange.askAll());
 		this.#repeat('lease', pauses.lease, async () => this.#get(LeaseKeeper).advance());
@@ -188,7 +194,7 @@
 			exchange.askAboutFailures();
 		});
 		this.#repeat('sweep', pauses.sweep, sweep);
-		this.#repeat('voters', pauses.voters, async () => joinVoters(configuration, membership, this.#container.get(partNames.clock)));
+		this.#repeat('voters', pauses.voters, async () => this.#get(VoterKeeper).advance());
 	}
 
 	#repeat(name: string, pauseMs: number, task: () => Promise<void> | void): void {
--- /dev/null
+++ b/packages/testkit/src/cluster/cluster.ts
@@ -0,0 +1,211 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {type Client, createClient} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {OperatorService} from '@chicorysaddle/protocol';
+import {hashKey, type Settings} from '@chicorysaddle/proxy';
+import {type AccountStructure, bootstrapConfiguration} from '../embedded/bootstrap.js';
+import {createDeployment, type Deployment, type DeploymentOptions} from '../stand-ins/index.js';
+import {Link} from './link.js';
+import {VmProcess} from './vm-process.js';
+
+/** What a cluster is made of. */
+export type ClusterOptions = {
+	readonly vms: number;
+	readonly deployment: DeploymentOptions;
+	readonly accounts: readonly AccountStructure[];
+	readonly policy: Partial<Settings['policy']>;
+	/** One-way latency between VMs, in milliseconds. */
+	readonly peerDelayMs: number;
+	/** Lag of the platform's list, in milliseconds. */
+	readonly listLagMs: number;
+	readonly recordsRequestIds?: boolean;
+};
+
+type ListChange = {readonly at: number; readonly name: string; readonly isListed: boolean};
+
+const operatorToken = 'operator-token-of-the-tests';
+const peerSecret = 'peer-secret-of-the-tests';
+const readinessPollMs = 250;
+
+/** A platform, database groups and a number of daemons, with links that can be cut. */
+export class Cluster {
+	readonly vms: VmProcess[] = [];
+	readonly #links = new Map<string, Link>();
+	readonly #listChanges: ListChange[] = [];
+	#folder = '';
+	#poll: NodeJS.Timeout | undefined;
+
+	private constructor(readonly deployment: Deployment, private readonly options: ClusterOptions) {}
+
+	/** Starts everything and waits until every VM is ready. */
+	static async start(options: ClusterOptions): Promise<Cluster> {
+		const deployment = await createDeployment(options.deployment);
+		const cluster = new Cluster(deployment, options);
+		cluster.#folder = await mkdtemp(path.join(tmpdir(), 'chicorysaddle-'));
+		const {zones} = options.deployment;
+		for (let index = 0; index < options.vms; index += 1) {
+			cluster.vms.push(new VmProcess(`vm-${index + 1}`, zones[index % zones.length]!, `127.0.1.${index + 1}`));
+		}
+
+		await cluster.#startLinks();
+		deployment.platform.listVms = source => cluster.#listFor(source);
+		await bootstrapConfiguration(deployment, {accounts: options.accounts, voters: cluster.vms.map(vm => vm.name), recordsRequestIds: options.recordsRequestIds ?? true});
+		await Promise.all(cluster.vms.map(async vm => cluster.startVm(vm)));
+		cluster.#poll = setInterval(() => {
+			void cluster.#pollReadiness();
+		}, readinessPollMs);
+		await cluster.waitUntilReady();
+		return cluster;
+	}
+
+	async startVm(vm: VmProcess): Promise<void> {
+		const file = path.join(this.#folder, `${vm.name}.toml`);
+		await writeFile(file, this.#formatSettings(vm));
+		this.#listChanges.push({at: performance.now(), name: vm.name, isListed: true});
+		await vm.start(file);
+	}
+
+	/** Kills a VM without warning; the platform's list follows later. */
+	killVm(vm: VmProcess): void {
+		vm.kill();
+		this.#listChanges.push({at: performance.now(), name: vm.name, isListed: false});
+	}
+
+	async drainVm(vm: VmProcess): Promise<number> {
+		const code = await vm.drain();
+		this.#listChanges.push({at: performance.now(), name: vm.name, isListed: false});
+		return code;
+	}
+
+	/** Cuts a VM off from peers, platform and endpoints, or connects it again. */
+	setCutOff(vm: VmProcess, isCut: boolean): void {
+		for (const [name, link] of this.#links) {
+			if (name.startsWith(`${vm.name}>`) || name.endsWith(`>${vm.name}`)) {
+				link.isCut = isCut;
+			}
+		}
+
+		for (const blocked of [this.deployment.platform.blockedSources, ...this.deployment.servers.map(server => server.blockedSources)]) {
+			if (isCut) {
+				blocked.add(vm.address);
+			} else {
+				blocked.delete(vm.address);
+			}
+		}
+	}
+
+	/** Returns the VMs that a balancer would use. */
+	getReadyVms(): VmProcess[] {
+		return this.vms.filter(vm => vm.isReady);
+	}
+
+	async waitUntilReady(limitMs = 30_000): Promise<void> {
+		const until = performance.now() + limitMs;
+		while (this.vms.some(vm => !vm.isReady)) {
+			if (performance.now() > until) {
+				throw new Error(`not ready: ${this.vms.filter(vm => !vm.isReady).map(vm => vm.name).join(', ')}`);
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, 20);
+			});
+		}
+	}
+
+	createOperator(vm: VmProcess): Client<typeof OperatorService> {
+		return createClient(OperatorService, createConnectTransport({
+			baseUrl: `http://${vm.address}:${vm.ports.operator}`,
+			httpVersion: '1.1',
+			interceptors: [next => async request => {
+				request.header.set('authorization', `Bearer ${operatorToken}`);
+				return next(request);
+			}],
+		}));
+	}
+
+	async stop(): Promise<void> {
+		clearInterval(this.#poll);
+		for (const vm of this.vms) {
+			vm.kill();
+		}
+
+		for (const link of this.#links.values()) {
+			link.stop();
+		}
+
+		this.deployment.stop();
+		await rm(this.#folder, {recursive: true});
+	}
+
+	async #startLinks(): Promise<void> {
+		for (const from of this.vms) {
+			for (const to of this.vms) {
+				if (from !== to) {
+					const link = new Link(() => (to.state === 'gone' ? undefined : {host: to.address, port: to.ports.peer}), this.options.peerDelayMs);
+					await link.start();
+					this.#links.set(`${from.name}>${to.name}`, link);
+				}
+			}
+		}
+	}
+
+	/** The list as it was some time ago; each VM is shown the links that lead from it. */
+	#listFor(source: string): ReturnType<Deployment['platform']['listVms']> {
+		const seenUntil = performance.now() - this.options.listLagMs;
+		const listed = new Set<string>();
+		for (const change of this.#listChanges) {
+			if (change.at <= seenUntil && change.isListed) {
+				listed.add(change.name);
+			} else if (change.at <= seenUntil) {
+				listed.delete(change.name);
+			}
+		}
+
+		const from = this.vms.find(vm => vm.address === source);
+		return this.vms.filter(vm => listed.has(vm.name)).map(vm => ({
+			name: vm.name, address: this.#links.get(`${from?.name}>${vm.name}`)?.address ?? '', zone: vm.zone, state: 'live' as const,
+		}));
+	}
+
+	async #pollReadiness(): Promise<void> {
+		await Promise.all(this.vms.map(async vm => {
+			if (vm.state === 'gone' || vm.state === 'starting') {
+				vm.isReady = false;
+				return;
+			}
+
+			try {
+				const response = await fetch(`http://${vm.address}:${vm.ports.operator}/readyz`, {signal: AbortSignal.timeout(readinessPollMs * 2)});
+				await response.text();
+				vm.isReady = response.ok;
+			} catch {
+				vm.isReady = false;
+			}
+		}));
+	}
+
+	#formatSettings(vm: VmProcess): string {
+		const {policy} = this.options;
+		return `
+[vm]
+name = "${vm.name}"
+zone = "${vm.zone}"
+address = "${vm.address}"
+source_address = "${vm.address}"
+[ports]
+caller = 0
+peer = 0
+operator = 0
+[platform]
+address = "127.0.0.1:${this.deployment.platform.port}"
+[peers]
+secret = "${peerSecret}"
+[operator]
+token_hashes = ["${hashKey(operatorToken)}"]
+[policy]
+${Object.entries(policy).map(([name, value]) => `${name} = "${value}"`).join('\n')}
+`;
+	}
+}
--- /dev/null
+++ b/packages/testkit/src/cluster/index.ts
@@ -0,0 +1,3 @@
+export * from './link.js';
+export * from './vm-process.js';
+export * from './cluster.js';
--- /dev/null
+++ b/packages/testkit/src/cluster/vm-process.ts
@@ -0,0 +1,95 @@
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {readFile} from 'node:fs/promises';
+import {fileURLToPath} from 'node:url';
+import process from 'node:process';
+
+/** Ports that a daemon has bound. */
+export type VmPorts = {readonly caller: number; readonly peer: number; readonly operator: number};
+
+/** State of a VM as the test knows it. */
+export type VmState = 'starting' | 'up' | 'draining' | 'paused' | 'gone';
+
+const daemonPath = fileURLToPath(import.meta.resolve('@chicorysaddle/proxy').replace(/dist\/index\.js$/v, 'bin/chicorysaddled.js'));
+
+/** CPU time used, in milliseconds. */
+export async function readCpuMs(pid: number): Promise<number> {
+	const text = await readFile(`/proc/${pid}/stat`, 'utf8');
+	const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+	const msPerTick = 10;
+	return (Number(fields[11]) + Number(fields[12])) * msPerTick;
+}
+
+/** One daemon, run as a process of its own. */
+export class VmProcess {
+	state: VmState = 'starting';
+	ports: VmPorts = {caller: 0, peer: 0, operator: 0};
+	isReady = false;
+	readonly logs: string[] = [];
+	#child: ChildProcess | undefined;
+
+	constructor(readonly name: string, readonly zone: string, readonly address: string) {}
+
+	get pid(): number {
+		return this.#child?.pid ?? 0;
+	}
+
+	/** Starts the daemon and waits until its ports are bound. */
+	async start(settingsFile: string): Promise<void> {
+		this.state = 'starting';
+		this.isReady = false;
+		const child = spawn(process.execPath, [daemonPath, settingsFile], {stdio: ['ignore', 'pipe', 'inherit']});
+		this.#child = child;
+		child.once('exit', () => {
+			if (this.#child === child) {
+				this.state = 'gone';
+				this.isReady = false;
+			}
+		});
+		await new Promise<void>((resolve, reject) => {
+			child.once('exit', code => {
+				reject(new Error(`${this.name} ended with ${code}`));
+			});
+			let rest = '';
+			child.stdout.on('data', chunk => {
+				const lines = (rest + String(chunk)).split('\n');
+				rest = lines.pop() ?? '';
+				for (const line of lines) {
+					this.logs.push(line);
+					if (line.includes('"proxy started"')) {
+						const {context} = JSON.parse(line) as {context: VmPorts};
+						this.ports = {caller: context.caller, peer: context.peer, operator: context.operator};
+						resolve();
+					}
+				}
+			});
+		});
+		this.state = 'up';
+	}
+
+	kill(): void {
+		this.state = 'gone';
+		this.isReady = false;
+		this.#child?.kill('SIGKILL');
+	}
+
+	pause(): void {
+		this.state = 'paused';
+		this.#child?.kill('SIGSTOP');
+	}
+
+	resume(): void {
+		this.state = 'up';
+		this.#child?.kill('SIGCONT');
+	}
+
+	/** Shuts down gracefully and returns the exit code. */
+	async drain(): Promise<number> {
+		this.state = 'draining';
+		const child = this.#child!;
+		const exited = once(child, 'exit');
+		child.kill('SIGTERM');
+		const [code] = await exited as [number];
+		return code;
+	}
+}
--- a/packages/testkit/src/embedded/main.ts
+++ b/packages/testkit/src/embedded/main.ts
@@ -12,6 +12,9 @@
 	const deployment = await createDeployment({
 		groups: ['inspections', 'reports', 'certificates'], zones: ['quimper', 'lorient', 'saint-brieuc'], slots: 5, connections: 30,
 	});
+	deployment.platform.listVms = () => [{
+		name: 'local', address: '', zone: 'quimper', state: 'live',
+	}];
 	const operatorToken = randomBytes(12).toString('hex');
 	await bootstrapConfiguration(deployment, {
 		accounts: [{
--- /dev/null
+++ b/packages/testkit/src/history/history.ts
@@ -0,0 +1,63 @@
+import {type EndpointEvent, type LogEntry} from '../stand-ins/index.js';
+
+/** What became of a call, as its caller saw it. */
+export type CallOutcome =
+	| {readonly kind: 'answered'; readonly value: string | undefined; readonly rowKey: string | undefined; readonly servedBy: string}
+	| {readonly kind: 'refused'; readonly refusal: string; readonly ran: string}
+	/** The connection broke before the answer. */
+	| {readonly kind: 'broken'};
+
+/** One call, as its caller saw it. */
+export type CallRecord = {
+	readonly sentAt: number;
+	readonly endedAt: number;
+	readonly vm: string;
+	/** Whether the VM was shutting down when the call ended. */
+	readonly wasDraining: boolean;
+	readonly account: string;
+	readonly key: string;
+	readonly session: number;
+	readonly group: string;
+	readonly action: 'read' | 'write' | 'begin' | 'statement' | 'commit';
+	/** Row that the call was about. */
+	readonly rowKey: string;
+	/** Unique mark of what the call wrote, empty for none. */
+	readonly tag: string;
+	/** Marks that the session knew to be acknowledged when the call was sent. */
+	readonly knownTags: readonly string[];
+	/** Whether only a refusal is right. */
+	readonly mustBeRefused: boolean;
+	readonly outcome: CallOutcome;
+};
+
+/** A version seen at a VM. */
+export type VersionSighting = {readonly at: number; readonly vm: string; readonly pid: number; readonly version: number; readonly isReady: boolean};
+
+/** When an instance began to lead a term. */
+export type PromotionRecord = {readonly at: number; readonly group: string; readonly term: number};
+
+/** Limits of an account, from a time on. */
+export type LimitRecord = {readonly account: string; readonly rate: number; readonly burst: number};
+
+/** Everything recorded in a run, from the callers' side and the stand-ins' side. */
+export type History = {
+	readonly calls: CallRecord[];
+	readonly events: EndpointEvent[];
+	readonly versions: VersionSighting[];
+	readonly accepted: Array<{readonly at: number; readonly version: number}>;
+	readonly withdrawals: Array<{readonly at: number; readonly key: string}>;
+	readonly leavings: Array<{readonly at: number; readonly instance: string}>;
+	readonly limits: LimitRecord[];
+	/** Time at which a fault hit a group's primary. */
+	readonly failures: Array<{readonly at: number; readonly group: string}>;
+	readonly groupOfInstance: Map<string, string>;
+	/** Log of each group's last primary at the end. */
+	readonly finalLogs: Map<string, readonly LogEntry[]>;
+};
+
+/** Creates an empty history. */
+export function createHistory(): History {
+	return {
+		calls: [], events: [], versions: [], accepted: [], withdrawals: [], leavings: [], limits: [], failures: [], groupOfInstance: new Map(), finalLogs: new Map(),
+	};
+}
--- /dev/null
+++ b/packages/testkit/src/load/index.ts
@@ -0,0 +1,2 @@
+export * from './caller.js';
+export * from './load.js';
--- /dev/null
+++ b/packages/testkit/src/measure/main.ts
@@ -0,0 +1,70 @@
+import {writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import sade from 'sade';
+import {deployments, type DeploymentName} from './deployments.js';
+import {
+	type Measurement, type PolicyName, policyNames, runMeasurement,
+} from './run-measurement.js';
+import {type ScenarioName, scenarios} from './scenarios.js';
+
+type Flags = {
+	readonly deployment: string; readonly scenario: string; readonly seconds: number; readonly seed: number; readonly policy: string; readonly json?: string; readonly offered?: number;
+};
+
+const exitCodes = {violated: 1, badArguments: 2} as const;
+
+function checkName<T extends string>(kind: string, name: string, known: readonly T[]): T {
+	const found = known.find(other => other === name);
+	if (found === undefined) {
+		process.stderr.write(`no ${kind} "${name}"; known: ${known.join(', ')}\n`);
+		process.exit(exitCodes.badArguments);
+	}
+
+	return found;
+}
+
+function printMeasurement(measurement: Measurement): void {
+	const violated = Object.entries(measurement.violations).filter(([, times]) => times > 0);
+	process.stdout.write(`${[
+		`${measurement.deployment} ${measurement.scenario} seed ${measurement.seed} policy ${measurement.policy}`,
+		`  requests ${measurement.requests}, refused ${measurement.refused} ${JSON.stringify(measurement.refusals)}`,
+		`  replica read share ${measurement.replicaReadShare.toFixed(3)}, failover gap ${measurement.failoverGapMs} ms`,
+		`  worst served account ${measurement.worstServedAccountShare.toFixed(4)}, refused inside rate ${measurement.refusedInsideRate.toFixed(4)}`,
+		`  latency p50 ${measurement.latencyMs.p50.toFixed(1)} p99 ${measurement.latencyMs.p99.toFixed(1)} max ${measurement.latencyMs.max.toFixed(0)} ms`,
+		`  a VM's core ${(measurement.vmCpuShare * 100).toFixed(1)}%, store reads ${measurement.storeReads.toFixed(1)}/s writes ${measurement.storeWrites.toFixed(1)}/s`,
+		`  violations ${violated.length === 0 ? 'none' : JSON.stringify(Object.fromEntries(violated))}`,
+	].join('\n')}\n`);
+}
+
+async function measure(flags: Flags): Promise<void> {
+	const deployment = checkName('deployment', flags.deployment, Object.keys(deployments) as DeploymentName[]);
+	const scenario = checkName('scenario', flags.scenario, Object.keys(scenarios) as ScenarioName[]);
+	const policies = flags.policy.split(',').map(name => checkName<PolicyName>('policy', name, policyNames));
+	const measurements: Measurement[] = [];
+	for (const policy of policies) {
+		const {measurement} = await runMeasurement({
+			deployment, scenario, policy, seconds: Number(flags.seconds), seed: Number(flags.seed), offered: flags.offered,
+		});
+		printMeasurement(measurement);
+		measurements.push(measurement);
+	}
+
+	const [first, ...others] = measurements;
+	if (flags.json !== undefined) {
+		await writeFile(flags.json, `${JSON.stringify(others.length === 0 ? first : {...first, baselines: others}, undefined, '\t')}\n`);
+	}
+
+	process.exit(Object.values(first!.violations).some(times => times > 0) ? exitCodes.violated : 0);
+}
+
+sade('measure', true)
+	.describe('Runs seven daemons with stand-ins and a load of eight accounts, and prints figures and violations.')
+	.option('--deployment', 'humidis or cathair', 'humidis')
+	.option('--scenario', Object.keys(scenarios).join(', '), 'steady')
+	.option('--seconds', 'Duration of the load', 20)
+	.option('--seed', 'Seed of every random choice', 1)
+	.option('--policy', `Policies to run one after another, with commas between: ${policyNames.join(', ')}`, 'product')
+	.option('--offered', 'Calls offered, as a multiple of each account\'s rate')
+	.option('--json', 'File to write the figures to')
+	.action(measure)
+	.parse(process.argv);
--- /dev/null
+++ b/packages/testkit/src/measure/run-measurement.ts
@@ -0,0 +1,174 @@
+import {type Settings} from '@chicorysaddle/proxy';
+import {Cluster, readCpuMs} from '../cluster/index.js';
+import {
+	checkHistory, createHistory, type Figures, getFigures, type History, type Violations,
+} from '../history/index.js';
+import {Caller, Load} from '../load/index.js';
+import {SeededRandom} from '../stand-ins/index.js';
+import {
+	createAccounts, type DeploymentName, deployments, vmCount,
+} from './deployments.js';
+import {type ScenarioName, scenarios} from './scenarios.js';
+
+/** Names of the policies: the product's, and plain ones to compare with. */
+export type PolicyName = 'product' | 'primary-only' | 'round-robin' | 'static-split' | 'owner' | 'first-come' | 'at-once';
+
+/** What to measure. */
+export type MeasurementOptions = {
+	readonly deployment: DeploymentName;
+	readonly scenario: ScenarioName;
+	readonly seconds: number;
+	readonly seed: number;
+	readonly policy: PolicyName;
+	/** Calls offered, as a multiple of each account's rate; the scenario's own where absent. */
+	readonly offered?: number | undefined;
+};
+
+/** What was measured. */
+export type Measurement = Omit<MeasurementOptions, 'offered'> & Figures & {
+	readonly violations: Violations;
+	/** Share of a core that a VM used, on average. */
+	readonly vmCpuShare: number;
+	/** Operations of all VMs at the platform's table, a second. */
+	readonly storeReads: number;
+	readonly storeWrites: number;
+	/** Refusals by kind. */
+	readonly refusals: Readonly<Record<string, number>>;
+};
+
+const policySettings: Readonly<Record<PolicyName, Partial<Settings['policy']>>> = {
+	product: {},
+	'primary-only': {reads: 'primary-only'},
+	'round-robin': {reads: 'round-robin'},
+	'static-split': {limits: 'static-split'},
+	owner: {limits: 'owner'},
+	'first-come': {queue: 'first-come'},
+	'at-once': {acknowledge: 'at-once'},
+};
+
+/** Names of the policies. */
+export const policyNames = Object.keys(policySettings) as PolicyName[];
+
+const versionPollMs = 200;
+const settleMs = 1500;
+/** Time before the load that shares take to settle, in milliseconds. */
+const warmUpMs = 3000;
+
+/** Runs a scenario against seven daemons and works out the figures from its history. */
+export async function runMeasurement(options: MeasurementOptions): Promise<{measurement: Measurement; history: History}> {
+	const profile = deployments[options.deployment];
+	const scenario = scenarios[options.scenario];
+	const accounts = createAccounts(profile, options.offered ?? scenario.offered);
+	const cluster = await Cluster.start({
+		vms: vmCount,
+		deployment: {...profile.stand, seed: options.seed},
+		accounts,
+		policy: policySettings[options.policy],
+		peerDelayMs: profile.peerDelayMs,
+		listLagMs: 2000,
+	});
+	const history = createHistory();
+	history.limits.push(...accounts.map(({name, rate, burst}) => ({account: name, rate, burst})));
+	watchEndpoints(cluster, history);
+	const stopWatching = watchVersions(cluster, history);
+	const caller = new Caller();
+	const load = new Load(cluster, caller, history, accounts, options.seed);
+	await wait(warmUpMs);
+	const cpuBefore = await sumCpuMs(cluster);
+	const storeBefore = {...cluster.deployment.platform.counters};
+	load.start();
+	const durationMs = options.seconds * 1000;
+	const world = {
+		cluster, history, load, durationMs, random: new SeededRandom(options.seed + 1),
+	};
+	await Promise.all([scenario.play(world), wait(durationMs)]);
+	await load.stop();
+	const cpuShare = (await sumCpuMs(cluster) - cpuBefore) / durationMs / vmCount;
+	const {counters} = cluster.deployment.platform;
+	await wait(settleMs);
+	noteFinalLogs(cluster, history);
+	stopWatching();
+	await caller.close();
+	await cluster.stop();
+	const {offered: _offered, ...named} = options;
+	return {
+		history,
+		measurement: {
+			...named,
+			...getFigures(history),
+			violations: checkHistory(history),
+			vmCpuShare: cpuShare,
+			storeReads: (counters.reads - storeBefore.reads) / options.seconds,
+			storeWrites: (counters.writes - storeBefore.writes) / options.seconds,
+			refusals: countRefusals(history),
+		},
+	};
+}
+
+async function wait(durationMs: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, durationMs);
+	});
+}
+
+function watchEndpoints(cluster: Cluster, history: History): void {
+	for (const group of cluster.deployment.groups) {
+		for (const instance of group.instances) {
+			history.groupOfInstance.set(instance.name, group.name);
+		}
+	}
+
+	for (const server of cluster.deployment.servers) {
+		server.onEvent = event => {
+			history.events.push(event);
+		};
+	}
+}
+
+function watchVersions(cluster: Cluster, history: History): () => void {
+	const timer = setInterval(() => {
+		for (const vm of cluster.vms) {
+			if (vm.state !== 'up') {
+				continue;
+			}
+
+			const {pid, isReady} = vm;
+			void (async () => {
+				try {
+					const status = await cluster.createOperator(vm).getInForce({version: 0n}, {timeoutMs: versionPollMs});
+					history.versions.push({
+						at: performance.now(), vm: vm.name, pid, version: Number(status.ownVersion), isReady,
+					});
+				} catch {
+					// A VM that does not answer is not sighted.
+				}
+			})();
+		}
+	}, versionPollMs);
+	return () => {
+		clearInterval(timer);
+	};
+}
+
+function noteFinalLogs(cluster: Cluster, history: History): void {
+	for (const group of cluster.deployment.groups) {
+		history.finalLogs.set(group.name, group.getPrimary().log);
+	}
+}
+
+async function sumCpuMs(cluster: Cluster): Promise<number> {
+	const times = await Promise.all(cluster.vms.map(async vm => (vm.state === 'gone' ? 0 : readCpuMs(vm.pid))));
+	return times.reduce((sum, time) => sum + time, 0);
+}
+
+function countRefusals(history: History): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (const {outcome, mustBeRefused} of history.calls) {
+		if (!mustBeRefused && outcome.kind !== 'answered') {
+			const name = outcome.kind === 'broken' ? 'broken' : outcome.refusal;
+			counts[name] = (counts[name] ?? 0) + 1;
+		}
+	}
+
+	return counts;
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,12 @@
 /** Generated code and build output are left to their generators. */
 const config = [
 	{files: ['**/bin/*.js', '**/container.ts'], rules: {'import-x/no-unassigned-import': 'off', 'n/no-unpublished-bin': 'off'}},
+	{
+		files: ['**/tests/**/*.ts'],
+		rules: {
+			'import-x/no-extraneous-dependencies': 'off', 'n/no-extraneous-import': 'off', 'ava/no-ignored-test-files': 'off',
+		},
+	},
 	{files: ['**/main.ts'], rules: {'unicorn/no-process-exit': 'off'}},
 	{ignores: ['**/dist/**', 'packages/protocol/src/generated/**']},
 	{
