Measure with one operator connection a VM

Cause: the harness opened a connection for every version poll. Change: one client a VM, polled twice a second.

--- a/packages/testkit/src/cluster/cluster.ts
+++ b/packages/testkit/src/cluster/cluster.ts
@@ -1,3 +1,4 @@
+import {Agent} from 'node:http';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -33,6 +34,7 @@
 export class Cluster {
 	readonly vms: VmProcess[] = [];
 	readonly #links = new Map<string, Link>();
+	readonly #operators = new Map<string, Client<typeof OperatorService>>();
 	readonly #listChanges: ListChange[] = [];
 	#folder = '';
 	#poll: NodeJS.Timeout | undefined;
@@ -114,15 +116,25 @@
 		}
 	}
 
+	/** Returns a client of a VM's operator port. */
 	createOperator(vm: VmProcess): Client<typeof OperatorService> {
-		return createClient(OperatorService, createConnectTransport({
-			baseUrl: `http://${vm.address}:${vm.ports.operator}`,
+		const address = `${vm.address}:${vm.ports.operator}`;
+		const known = this.#operators.get(address);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const operator = createClient(OperatorService, createConnectTransport({
+			baseUrl: `http://${address}`,
 			httpVersion: '1.1',
+			nodeOptions: {agent: new Agent({keepAlive: true})},
 			interceptors: [next => async request => {
 				request.header.set('authorization', `Bearer ${operatorToken}`);
 				return next(request);
 			}],
 		}));
+		this.#operators.set(address, operator);
+		return operator;
 	}
 
 	async stop(): Promise<void> {
--- a/packages/testkit/src/measure/run-measurement.ts
+++ b/packages/testkit/src/measure/run-measurement.ts
@@ -49,7 +49,7 @@
 /** Names of the policies. */
 export const policyNames = Object.keys(policySettings) as PolicyName[];
 
-const versionPollMs = 200;
+const versionPollMs = 500;
 const settleMs = 1500;
 /** Time before the load that shares take to settle, in milliseconds. */
 const warmUpMs = 3000;
