--- a/packages/decisions/src/limits/admission-control.ts
+++ b/packages/decisions/src/limits/admission-control.ts
@@ -30,6 +30,9 @@
 /** A burst of less than what comes in during this time is small, in milliseconds. */
 const smallBurstMs = 1500;
 
+/** An allocator that has not answered for this long is silent, in milliseconds. */
+const silenceMs = 700;
+
 const demandTimeConstantMs = 1000;
 const forgottenWeight = 0.01;
 
@@ -47,6 +50,7 @@
 	/** Accounts whose last tokens the allocator should soon know to be spent. */
 	readonly #unsettled = new Set<string>();
 	#lastReportAt = Number.NEGATIVE_INFINITY;
+	#lastGrantAt = Number.NEGATIVE_INFINITY;
 	#lastFullReportAt = Number.NEGATIVE_INFINITY;
 	#emptyGrants = 0;
 
@@ -78,7 +82,7 @@
 		}
 
 		const expectedMs = this.#estimateWaitMs(account, waiters.length, now);
-		const longestWaitMs = this.#getLongestWaitMs(account);
+		const longestWaitMs = this.#getLongestWaitMs(account, now);
 		if (expectedMs > Math.min(longestWaitMs, deadline - now)) {
 			return {kind: 'refused', id, retryAfterMs: Math.ceil(expectedMs)};
 		}
@@ -142,6 +146,7 @@
 
 	applyGrant(grant: ShareGrant, sentAt: number, isPartial: boolean, now: number): void {
 		this.#holder.applyGrant(grant, sentAt, isPartial, now);
+		this.#lastGrantAt = now;
 		this.#observeTokens(grant);
 		for (const {account, tokens, nextTokenMs} of grant.accounts) {
 			if (tokens > 0 && this.#hasSmallBurst(account)) {
@@ -154,8 +159,12 @@
 		}
 	}
 
-	/** Time in which two tokens come in, within bounds. */
-	#getLongestWaitMs(account: string): number {
+	/** Time in which two tokens come in, within bounds; the longest while the allocator is silent, which soon has a successor. */
+	#getLongestWaitMs(account: string, now: number): number {
+		if (now - this.#lastGrantAt > silenceMs) {
+			return longAdmissionWaitMs;
+		}
+
 		const rate = this.getLimits(account)?.rate ?? 1;
 		return Math.min(longAdmissionWaitMs, Math.max(shortAdmissionWaitMs, 2000 / rate));
 	}
@@ -231,7 +240,9 @@
 		const starved = this.#starved.get(account);
 		const isStarved = starved !== undefined && now - starved.at < starvedMs;
 		const fromPoolMs = isStarved ? starved.nextTokenMs + ((missing * 1000) / limits.rate) - (now - starved.at) : 0;
-		return Math.max(0, Math.min(fromPoolMs, (missing * 1000) / this.#holder.getRate(account, now)));
+		const localRate = this.#holder.getRate(account, now);
+		const locallyMs = localRate > 0 ? (missing * 1000) / localRate : Number.POSITIVE_INFINITY;
+		return Math.max(0, Math.min(fromPoolMs, locallyMs));
 	}
 }
 
--- a/packages/decisions/src/limits/share-allocator.ts
+++ b/packages/decisions/src/limits/share-allocator.ts
@@ -37,7 +37,7 @@
 };
 
 export const defaultAllocatorOptions: AllocatorOptions = {
-	validMs: 2000, localRateShare: 0.75, coveredDemand: 0.8, holdMs: 300, localBurstShare: 0.3, roomMs: 400,
+	validMs: 2000, localRateShare: 0.85, coveredDemand: 0.95, holdMs: 300, localBurstShare: 0.35, roomMs: 400,
 };
 
 const noFractions: Fractions = {rate: 0, burst: 0};
--- a/packages/proxy/src/limits/lease-keeper.ts
+++ b/packages/proxy/src/limits/lease-keeper.ts
@@ -8,11 +8,11 @@
 /** Name of the lease that the allocator of limits holds. */
 export const allocatorLease = 'limits';
 /** Duration of the lease, in milliseconds. */
-export const leaseMs = 3000;
+export const leaseMs = 1500;
 /** Time between two renewals, in milliseconds. */
-export const renewalMs = 600;
-const staggerMs = 150;
-const promiseTimeoutMs = 400;
+export const renewalMs = 400;
+const staggerMs = 60;
+const promiseTimeoutMs = 300;
 
 /** Seeks and keeps the lease of the allocator, and promises it to others. */
 export class LeaseKeeper {
--- a/packages/proxy/src/wiring/proxy.ts
+++ b/packages/proxy/src/wiring/proxy.ts
@@ -22,7 +22,7 @@
 const pauses = {
 	vmList: 2000,
 	storePoll: 1000,
-	lease: 200,
+	lease: 50,
 	demand: 100,
 	groups: 100,
 	sweep: 250,
