Command line: the morning sheet, accounts, keys, endpoints and views

sheet check|plan|apply reports every bad row with line and column and applies all or nothing by compare-and-set; a lost answer is asked for again under the same write id; apply waits until every VM known has the version and names the others.

--- /dev/null
+++ b/packages/cli/bin/chicorysaddle.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/cli/src/commands/sheet-commands.ts
@@ -0,0 +1,66 @@
+import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import {type Either, Left} from 'purify-ts';
+import {
+	formatProblem, parseSheet, type PlannedChange, planSheet, type SheetProblem, type SheetRow,
+} from '../sheet/index.js';
+import {CommandContext, type CommonFlags, exitCodes} from './command-context.js';
+
+async function readSheet(file: string): Promise<Either<SheetProblem[], SheetRow[]>> {
+	try {
+		return parseSheet(await readFile(file));
+	} catch (error) {
+		return Left([{line: 0, column: 0, message: `cannot be read: ${error instanceof Error ? error.message : String(error)}`}]);
+	}
+}
+
+function printProblems(file: string, problems: readonly SheetProblem[], flags: CommonFlags): number {
+	if (flags.json) {
+		process.stdout.write(`${JSON.stringify({result: 'bad', file, problems})}\n`);
+	} else {
+		process.stderr.write(`${problems.map(problem => formatProblem(file, problem)).join('\n')}\n${problems.length} problems; nothing was changed\n`);
+	}
+
+	return exitCodes.bad;
+}
+
+function describeChange({row, action, before}: PlannedChange): string {
+	return `${action} ${row.key}${before === undefined ? '' : ` from ${before}`}${row.value === undefined ? '' : ` to ${row.value}`}`;
+}
+
+/** Checks a sheet by itself. */
+export async function checkSheet(file: string, flags: CommonFlags): Promise<number> {
+	const sheet = await readSheet(file);
+	return sheet.caseOf({
+		Left: problems => printProblems(file, problems, flags),
+		Right(rows) {
+			new CommandContext(flags).print({result: 'good', file, rows: rows.length}, [`${file}: ${rows.length} rows are good`]);
+			return exitCodes.done;
+		},
+	});
+}
+
+/** Prints what a sheet would change. */
+export async function planSheetFile(file: string, flags: CommonFlags): Promise<number> {
+	return withPlan(file, flags, async (context, version, changes) => {
+		context.print({result: 'planned', version, changes}, [`${changes.length} changes to version ${version}`, ...changes.map(change => describeChange(change))]);
+		return exitCodes.done;
+	});
+}
+
+/** Applies a sheet, whole or not at all. */
+export async function applySheetFile(file: string, flags: CommonFlags): Promise<number> {
+	return withPlan(file, flags, async (context, version, changes) => context.applyRows(changes.map(({row}) => row), `sheet ${file}`, version, {changes: changes.length}));
+}
+
+async function withPlan(file: string, flags: CommonFlags, use: (context: CommandContext, version: bigint, changes: readonly PlannedChange[]) => Promise<number>): Promise<number> {
+	const sheet = await readSheet(file);
+	if (sheet.isLeft()) {
+		return printProblems(file, sheet.extract() as SheetProblem[], flags);
+	}
+
+	const context = new CommandContext(flags);
+	const {version, rows} = await context.client.getConfiguration({});
+	const plan = planSheet(sheet.unsafeCoerce(), rows);
+	return plan.isLeft() ? printProblems(file, plan.extract() as SheetProblem[], flags) : use(context, version, plan.unsafeCoerce());
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,76 @@
+import process from 'node:process';
+import sade from 'sade';
+import {
+	applySheetFile, checkSheet, type CommonFlags, createAccount, type EndpointFlags, exitCodes, giveKey, joinEndpoint, leaveEndpoint, limitAccount, type LimitFlags,
+	listAccounts, planSheetFile, showConfiguration, showHistory, showStatus, withdrawKey,
+} from './commands/index.js';
+
+/** Ends the process with the exit code of a command. */
+async function finish(command: Promise<number>): Promise<void> {
+	try {
+		process.exitCode = await command;
+	} catch (error) {
+		process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+		process.exitCode = exitCodes.failed;
+	}
+}
+
+const program = sade('chicorysaddle');
+
+program
+	.version('0.1.0')
+	.option('--proxy', 'Operator port of any proxy; CHICORYSADDLE_PROXY, else 127.0.0.1:7002')
+	.option('--token', 'Operator token; CHICORYSADDLE_TOKEN')
+	.option('--json', 'Print one JSON object', false)
+	.option('--wait', 'Seconds to wait until a change is in force everywhere', 15);
+
+program.command('sheet check <file>', 'Check a sheet by itself')
+	.example('sheet check morning.csv')
+	.action(async (file: string, flags: CommonFlags) => finish(checkSheet(file, flags)));
+program.command('sheet plan <file>', 'Print what a sheet would change')
+	.example('sheet plan morning.csv')
+	.action(async (file: string, flags: CommonFlags) => finish(planSheetFile(file, flags)));
+program.command('sheet apply <file>', 'Apply a sheet, whole or not at all, and wait until it is in force')
+	.example('sheet apply morning.csv --wait 30')
+	.action(async (file: string, flags: CommonFlags) => finish(applySheetFile(file, flags)));
+program.command('account create <name>', 'Create a client account')
+	.option('--rate', 'Requests a second')
+	.option('--burst', 'Largest burst')
+	.option('--weight', 'Weight in queues')
+	.example('account create harbour-homes --rate 20 --burst 40')
+	.action(async (name: string, flags: LimitFlags) => finish(createAccount(name, flags)));
+program.command('account limit <name>', 'Change the limits of a client account')
+	.option('--rate', 'Requests a second')
+	.option('--burst', 'Largest burst')
+	.option('--weight', 'Weight in queues')
+	.example('account limit harbour-homes --rate 30')
+	.action(async (name: string, flags: LimitFlags) => finish(limitAccount(name, flags)));
+program.command('account show <name>', 'Print a client account with the hashes of its keys')
+	.action(async (name: string, flags: CommonFlags) => finish(listAccounts(flags, name)));
+program.command('account list', 'Print all client accounts')
+	.action(async (flags: CommonFlags) => finish(listAccounts(flags)));
+program.command('key give <account>', 'Give a client account a new key, printed once')
+	.option('--label', 'Name to tell keys apart')
+	.example('key give harbour-homes --label autumn')
+	.action(async (account: string, flags: CommonFlags & {label?: string}) => finish(giveKey(account, flags)));
+program.command('key withdraw <key>', 'Withdraw a key, given itself or as sha256:HASH')
+	.action(async (key: string, flags: CommonFlags) => finish(withdrawKey(key, flags)));
+program.command('endpoint join <name>', 'Add an endpoint, or take back that it leaves')
+	.option('--group', 'Database group')
+	.option('--address', 'Address as host:port')
+	.option('--zone', 'Availability zone')
+	.option('--slots', 'Statements that it runs at once')
+	.option('--connections', 'Connections that it takes')
+	.example('endpoint join casefile-a-4 --group casefile-a --address 10.0.0.9:5400 --zone lorient --slots 5 --connections 30')
+	.action(async (name: string, flags: EndpointFlags) => finish(joinEndpoint(name, flags)));
+program.command('endpoint leave <name>', 'Mark an endpoint as leaving: it gets no new work')
+	.action(async (name: string, flags: CommonFlags) => finish(leaveEndpoint(name, flags)));
+program.command('status', 'Print the state of a proxy and of the others as it sees them')
+	.action(async (flags: CommonFlags) => finish(showStatus(flags)));
+program.command('config show', 'Print the configuration in force')
+	.action(async (flags: CommonFlags) => finish(showConfiguration(flags)));
+program.command('config history', 'Print the latest changes')
+	.option('--limit', 'Number of changes', 20)
+	.action(async (flags: CommonFlags & {limit?: number}) => finish(showHistory(flags)));
+
+program.parse(process.argv);
--- /dev/null
+++ b/packages/cli/src/operator/change-applier.ts
@@ -0,0 +1,82 @@
+import {createHash} from 'node:crypto';
+import {Code, ConnectError} from '@connectrpc/connect';
+import {type StoredRow} from '@chicorysaddle/model';
+import {type ConfigurationChange} from '@chicorysaddle/protocol';
+import {type OperatorClient} from './operator-client.js';
+
+/** A change to apply. */
+export type ChangeStructure = {
+	/** Version that the change was planned from. */
+	readonly expectedVersion: bigint;
+	readonly author: string;
+	readonly summary: string;
+	readonly rows: readonly StoredRow[];
+};
+
+/** What became of a change. */
+export type ApplyOutcome =
+	/** In force at every VM known. */
+	| {readonly kind: 'in-force'; readonly version: bigint; readonly vms: readonly string[]}
+	/** Written, but not in force at some VMs within the time allowed. */
+	| {readonly kind: 'pending'; readonly version: bigint; readonly vms: readonly string[]; readonly pending: readonly string[]}
+	| {readonly kind: 'conflict'; readonly version: bigint; readonly other: ConfigurationChange | undefined};
+
+/** Options of waiting for a change. */
+export type ApplyOptions = {
+	/** Longest wait for the change to be in force, in milliseconds. */
+	readonly limitMs: number;
+	/** Told how far the change has come. */
+	onProgress(inForce: number, total: number): void;
+};
+
+const pollMs = 100;
+const callTimeoutMs = 15_000;
+const attempts = 5;
+
+/** Applies a change and waits until it is in force everywhere. */
+export async function applyChange(client: OperatorClient, change: ChangeStructure, options: ApplyOptions): Promise<ApplyOutcome> {
+	const until = performance.now() + options.limitMs;
+	const response = await sendChange(client, change);
+	if (response.result === 'conflict') {
+		return {kind: 'conflict', version: response.version, other: response.conflicting};
+	}
+
+	const {version} = response;
+	for (;;) {
+		const {inForce, pending} = await client.getInForce({version}, {timeoutMs: callTimeoutMs});
+		options.onProgress(inForce.length, inForce.length + pending.length);
+		if (pending.length === 0) {
+			return {kind: 'in-force', version, vms: inForce};
+		}
+
+		if (performance.now() >= until) {
+			return {
+				kind: 'pending', version, vms: inForce, pending,
+			};
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, pollMs);
+		});
+	}
+}
+
+/** Sends a change again under the same identity while its answer is lost. */
+async function sendChange(client: OperatorClient, change: ChangeStructure): Promise<Awaited<ReturnType<OperatorClient['applyChange']>>> {
+	const rows = change.rows.map(row => (row.value === undefined ? {key: row.key} : {key: row.key, value: row.value}));
+	const writeId = createHash('sha256').update(JSON.stringify([String(change.expectedVersion), change.author, rows])).digest('base64url');
+	for (let attempt = 1; ; attempt += 1) {
+		try {
+			return await client.applyChange({...change, rows, writeId}, {timeoutMs: callTimeoutMs});
+		} catch (error) {
+			const isLost = error instanceof ConnectError && (error.code === Code.Unavailable || error.code === Code.DeadlineExceeded);
+			if (!isLost || attempt >= attempts) {
+				throw error;
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, pollMs * attempt);
+			});
+		}
+	}
+}
--- /dev/null
+++ b/packages/cli/src/operator/index.ts
@@ -0,0 +1,2 @@
+export * from './operator-client.js';
+export * from './change-applier.js';
--- /dev/null
+++ b/packages/cli/src/operator/operator-client.ts
@@ -0,0 +1,24 @@
+import {type Client, createClient} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {OperatorService} from '@chicorysaddle/protocol';
+
+/** Where an operator's proxy is. */
+export type OperatorOptions = {
+	/** Address of an operator port as host:port. */
+	readonly proxy: string;
+	readonly token: string;
+};
+
+export type OperatorClient = Client<typeof OperatorService>;
+
+/** Returns a client of a proxy's operator port. */
+export function createOperatorClient({proxy, token}: OperatorOptions): OperatorClient {
+	return createClient(OperatorService, createConnectTransport({
+		baseUrl: `http://${proxy}`,
+		httpVersion: '1.1',
+		interceptors: [next => async request => {
+			request.header.set('authorization', `Bearer ${token}`);
+			return next(request);
+		}],
+	}));
+}
--- /dev/null
+++ b/packages/cli/src/sheet/parse-sheet.ts
@@ -0,0 +1,162 @@
+import {CsvError, parse} from 'csv-parse/sync';
+import {type Either, Left, Right} from 'purify-ts';
+import {
+	isSheetKind, requiredColumns, type SheetColumn, sheetColumns, states,
+} from './sheet-columns.js';
+import {type SheetProblem} from './sheet-problem.js';
+import {getCell, getColumnNumber, type SheetRow} from './sheet-row.js';
+
+type RawRecord = {readonly record: string[]; readonly info: {readonly lines: number}};
+
+type Header = ReadonlyMap<SheetColumn, number>;
+
+/**
+ * Reads a sheet.
+ * @param bytes - Contents of the file: CSV in UTF-8, with or without a byte-order mark, lines ending in LF or CRLF.
+ * @returns Its rows, or everything that is wrong with it.
+ */
+export function parseSheet(bytes: Uint8Array): Either<SheetProblem[], SheetRow[]> {
+	return decodeText(bytes).chain(text => readRecords(text)).chain(records => {
+		const [first, ...rest] = records;
+		if (first === undefined) {
+			return Left([{line: 1, column: 0, message: 'the sheet is empty'}]);
+		}
+
+		return parseHeader(first.record).chain(header => parseRows(header, rest));
+	});
+}
+
+function decodeText(bytes: Uint8Array): Either<SheetProblem[], string> {
+	try {
+		return Right(new TextDecoder('utf-8', {fatal: true}).decode(bytes));
+	} catch {
+		return Left([{line: 1, column: 0, message: 'the sheet is not in UTF-8'}]);
+	}
+}
+
+function readRecords(text: string): Either<SheetProblem[], RawRecord[]> {
+	try {
+		const records: unknown = parse(text, {
+			bom: true, info: true, relaxColumnCount: true, skipEmptyLines: true, trim: true,
+		});
+		return Right(records as RawRecord[]);
+	} catch (error) {
+		const line = error instanceof CsvError ? Number(error['lines'] ?? 1) : 1;
+		const column = error instanceof CsvError ? Number(error['index'] ?? -1) + 1 : 0;
+		return Left([{line, column, message: `broken quoting or line: ${error instanceof Error ? error.message : String(error)}`}]);
+	}
+}
+
+function parseHeader(names: readonly string[]): Either<SheetProblem[], Header> {
+	const header = new Map<SheetColumn, number>();
+	const problems: SheetProblem[] = [];
+	for (const [index, name] of names.entries()) {
+		const column = sheetColumns.find(known => known === name.toLowerCase());
+		if (column === undefined) {
+			problems.push({line: 1, column: index + 1, message: `unknown column "${name}"; known: ${sheetColumns.join(', ')}`});
+		} else if (header.has(column)) {
+			problems.push({line: 1, column: index + 1, message: `column "${name}" stands twice`});
+		} else {
+			header.set(column, index + 1);
+		}
+	}
+
+	if (!header.has('kind')) {
+		problems.push({line: 1, column: 0, message: 'no column "kind"'});
+	}
+
+	return problems.length > 0 ? Left(problems) : Right(header);
+}
+
+function parseRows(header: Header, records: readonly RawRecord[]): Either<SheetProblem[], SheetRow[]> {
+	const problems: SheetProblem[] = [];
+	const rows: SheetRow[] = [];
+	for (const {record, info} of records) {
+		// The parser counts up to the last line of a record; quoted cells may span several.
+		const line = info.lines - record.join('').split('\n').length + 1;
+		const row = parseRow(header, record, line);
+		row.ifLeft(found => problems.push(...found)).ifRight(good => rows.push(good));
+	}
+
+	problems.push(...findDuplicates(rows));
+	return problems.length > 0 ? Left(problems.toSorted((a, b) => a.line - b.line || a.column - b.column)) : Right(rows);
+}
+
+function parseRow(header: Header, record: readonly string[], line: number): Either<SheetProblem[], SheetRow> {
+	const cells: Partial<Record<SheetColumn, string>> = {};
+	for (const [column, number] of header) {
+		cells[column] = record[number - 1] ?? '';
+	}
+
+	const kind = (cells.kind ?? '').toLowerCase();
+	if (!isSheetKind(kind)) {
+		return Left([{line, column: header.get('kind') ?? 0, message: `unknown kind "${cells.kind ?? ''}"; known: ${Object.keys(requiredColumns).join(', ')}`}]);
+	}
+
+	const row: SheetRow = {
+		line, kind, cells, columns: header,
+	};
+	const problems = record.length > header.size ? [{line, column: header.size + 1, message: `${record.length} cells under ${header.size} columns`}] : [];
+	problems.push(...checkCells(row));
+	return problems.length > 0 ? Left(problems) : Right(row);
+}
+
+function checkCells(row: SheetRow): SheetProblem[] {
+	const problems: SheetProblem[] = [];
+	const add = (column: SheetColumn, message: string) => {
+		problems.push({line: row.line, column: getColumnNumber(row, column), message});
+	};
+
+	const isEnding = ['closed', 'withdrawn', 'gone'].includes(getCell(row, 'state'));
+	const required = isEnding ? requiredColumns[row.kind].slice(0, row.kind === 'key' ? 2 : 1) : requiredColumns[row.kind];
+	for (const column of required) {
+		if (getCell(row, column) === '') {
+			add(column, `a row of kind "${row.kind}" needs "${column}"`);
+		}
+	}
+
+	const state = getCell(row, 'state');
+	if (state !== '' && !states[row.kind].includes(state)) {
+		add('state', `unknown state "${state}"; known: ${states[row.kind].join(', ')}`);
+	}
+
+	checkNumber('rate', value => value > 0, 'a number above zero');
+	checkNumber('burst', value => value >= 1, 'a number of at least one');
+	checkNumber('weight', value => value > 0, 'a number above zero');
+	checkNumber('slots', value => Number.isInteger(value) && value > 0, 'a whole number above zero');
+	checkNumber('connections', value => Number.isInteger(value) && value > 0, 'a whole number above zero');
+	return problems;
+
+	function checkNumber(column: SheetColumn, isGood: (value: number) => boolean, expected: string): void {
+		const cell = getCell(row, column);
+		if (cell !== '' && !isGood(Number(cell))) {
+			add(column, `"${cell}" is not ${expected}`);
+		}
+	}
+}
+
+/** Returns what a row is about; two rows of a sheet about the same thing are an error. */
+function getSubject(row: SheetRow): {readonly column: SheetColumn; readonly id: string; readonly text: string} {
+	return row.kind === 'key'
+		? {column: 'key', id: `key ${getCell(row, 'key')}`, text: 'this key'}
+		: {column: 'name', id: `${row.kind} ${getCell(row, 'name')}`, text: `${row.kind} "${getCell(row, 'name')}"`};
+}
+
+function findDuplicates(rows: readonly SheetRow[]): SheetProblem[] {
+	const first = new Map<string, SheetRow>();
+	const problems: SheetProblem[] = [];
+	for (const row of rows) {
+		const {column, id, text} = getSubject(row);
+		const earlier = first.get(id);
+		if (earlier === undefined) {
+			first.set(id, row);
+			continue;
+		}
+
+		const isOtherAccount = row.kind === 'key' && getCell(earlier, 'account') !== getCell(row, 'account');
+		const where = isOtherAccount ? `for another client account, "${getCell(earlier, 'account')}"` : 'already';
+		problems.push({line: row.line, column: getColumnNumber(row, column), message: `${text} stands ${where} on line ${earlier.line}`});
+	}
+
+	return problems;
+}
--- /dev/null
+++ b/packages/cli/src/sheet/sheet-problem.ts
@@ -0,0 +1,13 @@
+/** Something wrong with one cell, or one row, of a sheet. */
+export type SheetProblem = {
+	/** Line of the file, counted from one. */
+	readonly line: number;
+	/** Column of the sheet, counted from one; zero for the whole row. */
+	readonly column: number;
+	readonly message: string;
+};
+
+/** Writes a problem as "file:line:column: message". */
+export function formatProblem(file: string, {line, column, message}: SheetProblem): string {
+	return `${file}:${line}:${column}: ${message}`;
+}
--- /dev/null
+++ b/packages/testkit/src/tests/cli/command-line.test.ts
@@ -0,0 +1,70 @@
+import {execFile} from 'node:child_process';
+import {mkdtemp, readFile, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import test from 'ava';
+import {parseSheet} from '@chicorysaddle/cli';
+import {parseSettings} from '@chicorysaddle/proxy';
+import {startLocalProxies} from '../local-proxies.js';
+
+const cliPath = fileURLToPath(import.meta.resolve('@chicorysaddle/cli').replace(/dist\/index\.js$/v, 'bin/chicorysaddle.js'));
+const examplesPath = fileURLToPath(new URL('../../../../../examples/', import.meta.url));
+
+type Result = {readonly code: number; readonly out: string; readonly err: string};
+
+async function runCli(proxy: string, token: string, ...commandArguments: string[]): Promise<Result> {
+	return new Promise(resolve => {
+		const child = execFile(process.execPath, [cliPath, ...commandArguments], {env: {...process.env, CHICORYSADDLE_PROXY: proxy, CHICORYSADDLE_TOKEN: token}}, (_error, out, err) => {
+			resolve({code: child.exitCode ?? -1, out, err});
+		});
+	});
+}
+
+test('a sheet is checked, planned, applied once and refused whole when it is bad', async t => {
+	const local = await startLocalProxies({vms: 2});
+	const folder = await mkdtemp(path.join(tmpdir(), 'chicorysaddle-sheet-'));
+	const good = path.join(folder, 'good.csv');
+	const bad = path.join(folder, 'bad.csv');
+	await writeFile(good, 'kind,name,account,key,rate,burst\naccount,new,,,5,5\nkey,,new,csk_new-key,,\n');
+	await writeFile(bad, 'kind,name,account,key,rate,burst\naccount,other,,,5,5\naccount,third,,,-5,5\n');
+	const proxy = `127.0.0.1:${local.proxies[0]!.operatorPort}`;
+	const run = async (...commandArguments: string[]) => runCli(proxy, local.operatorToken, ...commandArguments);
+
+	const refused = await run('sheet', 'apply', bad);
+	t.is(refused.code, 1);
+	t.true(refused.err.includes(`${bad}:3:5: "-5" is not a number above zero`), refused.err);
+	const planned = await run('sheet', 'plan', good, '--json');
+	t.is((JSON.parse(planned.out) as {changes: unknown[]}).changes.length, 2);
+	const applied = await run('sheet', 'apply', good, '--json');
+	t.is(applied.code, 0, applied.err);
+	const {result, version, vms} = JSON.parse(applied.out) as {result: string; version: number; vms: string[]};
+	t.deepEqual([result, vms.length], ['in-force', 2]);
+	const again = JSON.parse((await run('sheet', 'apply', good, '--json')).out) as {result: string; version: number};
+	t.deepEqual(again, {changes: 0, result: 'unchanged', version} as never);
+	const shown = await run('config', 'show');
+	t.false(shown.out.includes('other'));
+	t.false(shown.out.includes('csk_new-key'));
+	t.is((await runCli(proxy, 'wrong', 'config', 'show')).code, 5);
+
+	const given = await run('key', 'give', 'new', '--json');
+	const {key} = JSON.parse(given.out) as {key: string};
+	t.is((await run('key', 'withdraw', key)).code, 0);
+	t.is((await run('key', 'withdraw', key)).code, 1);
+	t.is((await run('account', 'create', 'new', '--rate', '1', '--burst', '1')).code, 1);
+	t.is((await run('account', 'limit', 'new', '--rate', '9')).code, 0);
+	t.true((await run('account', 'show', 'new')).out.includes('"rate":9'));
+	t.true((await run('status')).out.includes('limits allocated by vm-'));
+	t.true((await run('config', 'history')).out.includes('limit client account new'));
+	await local.stop();
+});
+
+test('the examples are good', async t => {
+	for (const deployment of ['humidis', 'cathair']) {
+		const sheet = parseSheet(await readFile(path.join(examplesPath, deployment, 'morning.csv')));
+		t.is(sheet.map(rows => rows.length).orDefault(0), 25);
+		const file = path.join(examplesPath, deployment, 'vm-1.toml');
+		t.true(parseSettings(file, await readFile(file, 'utf8')).isRight());
+	}
+});
--- /dev/null
+++ b/packages/testkit/src/tests/local-proxies.ts
@@ -0,0 +1,93 @@
+import {type Client, createClient} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {DatabaseService} from '@chicorysaddle/protocol';
+import {hashKey, Proxy, settingsSchema} from '@chicorysaddle/proxy';
+import {type AccountStructure, bootstrapConfiguration} from '../embedded/bootstrap.js';
+import {createDeployment, type Deployment} from '../stand-ins/index.js';
+
+/** What a few proxies in this process are started with. */
+export type LocalProxiesOptions = {
+	readonly vms: number;
+	readonly accounts?: readonly AccountStructure[];
+	readonly recordsRequestIds?: boolean;
+	readonly timeouts?: Readonly<Record<string, number>>;
+};
+
+/** A few proxies in this process, before stand-ins. */
+export type LocalProxies = {
+	readonly deployment: Deployment;
+	readonly proxies: Proxy[];
+	readonly operatorToken: string;
+	/** Returns a client of a proxy's caller port that shows a key. */
+	createCaller(index: number, key?: string): Client<typeof DatabaseService>;
+	stop(): Promise<void>;
+};
+
+/** Key of the account that there is when no others are asked for. */
+export const testKey = 'csk_test-key';
+const operatorToken = 'operator-token';
+
+/** Waits until a condition holds. */
+export async function waitFor(isTrue: () => boolean | Promise<boolean>, limitMs = 20_000): Promise<void> {
+	const until = performance.now() + limitMs;
+	while (!await isTrue()) {
+		if (performance.now() > until) {
+			throw new Error('the condition did not come to hold');
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+}
+
+/** Starts proxies and waits until they are ready. */
+export async function startLocalProxies(options: LocalProxiesOptions): Promise<LocalProxies> {
+	const zones = ['zone-1', 'zone-2', 'zone-3'];
+	const deployment = await createDeployment({
+		groups: ['orders'], zones, slots: 5, connections: 30,
+	});
+	const names = Array.from({length: options.vms}, (_, index) => `vm-${index + 1}`);
+	const proxies: Proxy[] = [];
+	deployment.platform.listVms = () => names.map((name, index) => ({
+		name, zone: zones[index % zones.length]!, state: 'live' as const, address: proxies[index] === undefined ? '' : `127.0.0.1:${proxies[index].peerPort}`,
+	}));
+	await bootstrapConfiguration(deployment, {
+		accounts: options.accounts ?? [{
+			name: 'test', rate: 1000, burst: 1000, key: testKey,
+		}],
+		voters: names,
+		recordsRequestIds: options.recordsRequestIds ?? true,
+	});
+	for (const [index, name] of names.entries()) {
+		proxies.push(await Proxy.start(settingsSchema.parse({
+			vm: {name, zone: zones[index % zones.length]},
+			ports: {caller: 0, peer: 0, operator: 0},
+			platform: {address: `127.0.0.1:${deployment.platform.port}`},
+			peers: {secret: 'secret-of-the-tests', exchange_ms: 200},
+			operator: {token_hashes: [hashKey(operatorToken)]},
+			timeouts: {drain_grace_ms: 100, ...options.timeouts},
+			log: {level: 'error'},
+		})));
+	}
+
+	await waitFor(() => proxies.every(proxy => proxy.isReady()));
+	return {
+		deployment, proxies, operatorToken,
+		createCaller: (index, key = testKey) => createClient(DatabaseService, createConnectTransport({
+			baseUrl: `http://127.0.0.1:${proxies[index]!.callerPort}`,
+			httpVersion: '1.1',
+			interceptors: [next => async request => {
+				if (key !== '') {
+					request.header.set('authorization', `Bearer ${key}`);
+				}
+
+				return next(request);
+			}],
+		})),
+		async stop() {
+			await Promise.all(proxies.map(async proxy => proxy.close()));
+			deployment.stop();
+		},
+	};
+}
