Promotion: the failing primary leads again only where no majority is left without it

Cause: found by a test. Change: the round chooses among the other instances while they are a majority, which together hold every acknowledged write. Deadlines keep 25 ms back in one place, so that a refusal arrives before the caller gives up. Peer sessions end when a proxy closes.

--- a/packages/cli/src/commands/command-context.ts
+++ b/packages/cli/src/commands/command-context.ts
@@ -37,8 +37,8 @@
 
 	constructor(flags: CommonFlags) {
 		this.client = createOperatorClient({
-			proxy: flags.proxy ?? process.env['CHICORYSADDLE_PROXY'] ?? defaultProxy,
-			token: flags.token ?? process.env['CHICORYSADDLE_TOKEN'] ?? '',
+			proxy: flags.proxy ?? process.env.CHICORYSADDLE_PROXY ?? defaultProxy,
+			token: flags.token ?? process.env.CHICORYSADDLE_TOKEN ?? '',
 		});
 		this.#isJson = flags.json ?? false;
 		this.#waitMs = Number(flags.wait ?? defaultWaitSeconds) * 1000;
@@ -57,7 +57,7 @@
 			return exitCodes.done;
 		}
 
-		const author = process.env['USER'] ?? 'operator';
+		const author = process.env.USER ?? 'operator';
 		const outcome = await applyChange(this.client, {
 			expectedVersion, author, summary, rows,
 		}, {
--- a/packages/cli/src/commands/sheet-commands.ts
+++ b/packages/cli/src/commands/sheet-commands.ts
@@ -56,11 +56,11 @@
 async function withPlan(file: string, flags: CommonFlags, use: (context: CommandContext, version: bigint, changes: readonly PlannedChange[]) => Promise<number>): Promise<number> {
 	const sheet = await readSheet(file);
 	if (sheet.isLeft()) {
-		return printProblems(file, sheet.extract() as SheetProblem[], flags);
+		return printProblems(file, sheet.extract(), flags);
 	}
 
 	const context = new CommandContext(flags);
 	const {version, rows} = await context.client.getConfiguration({});
 	const plan = planSheet(sheet.unsafeCoerce(), rows);
-	return plan.isLeft() ? printProblems(file, plan.extract() as SheetProblem[], flags) : use(context, version, plan.unsafeCoerce());
+	return plan.isLeft() ? printProblems(file, plan.extract(), flags) : use(context, version, plan.unsafeCoerce());
 }
--- a/packages/cli/src/sheet/parse-sheet.ts
+++ b/packages/cli/src/sheet/parse-sheet.ts
@@ -41,8 +41,8 @@
 		});
 		return Right(records as RawRecord[]);
 	} catch (error) {
-		const line = error instanceof CsvError ? Number(error['lines'] ?? 1) : 1;
-		const column = error instanceof CsvError ? Number(error['index'] ?? -1) + 1 : 0;
+		const line = error instanceof CsvError ? Number(error.lines ?? 1) : 1;
+		const column = error instanceof CsvError ? Number(error.index ?? -1) + 1 : 0;
 		return Left([{line, column, message: `broken quoting or line: ${error instanceof Error ? error.message : String(error)}`}]);
 	}
 }
--- a/packages/cli/src/sheet/plan-sheet.ts
+++ b/packages/cli/src/sheet/plan-sheet.ts
@@ -21,18 +21,22 @@
 }
 
 const converters: Readonly<Record<SheetKind, (row: SheetRow) => StoredRow>> = {
-	account: row => formatRow('account', getCell(row, 'name'), getCell(row, 'state') === 'closed' ? undefined : {
-		rate: Number(getCell(row, 'rate')), burst: Number(getCell(row, 'burst')), weight: Number(getCell(row, 'weight') || 1),
-	}),
+	account: row => formatRow('account', getCell(row, 'name'), getCell(row, 'state') === 'closed'
+		? undefined
+		: {
+			rate: Number(getCell(row, 'rate')), burst: Number(getCell(row, 'burst')), weight: Number(getCell(row, 'weight') || 1),
+		}),
 	key: row => formatRow('key', getKeyHash(getCell(row, 'key')), getCell(row, 'state') === 'withdrawn' ? undefined : {account: getCell(row, 'account'), label: getCell(row, 'name')}),
-	endpoint: row => formatRow('endpoint', getCell(row, 'name'), getCell(row, 'state') === 'gone' ? undefined : {
-		group: getCell(row, 'group'),
-		address: getCell(row, 'address'),
-		zone: getCell(row, 'zone'),
-		slots: Number(getCell(row, 'slots')),
-		connections: Number(getCell(row, 'connections')),
-		state: getCell(row, 'state') === 'leaving' ? 'leaving' : 'active',
-	}),
+	endpoint: row => formatRow('endpoint', getCell(row, 'name'), getCell(row, 'state') === 'gone'
+		? undefined
+		: {
+			group: getCell(row, 'group'),
+			address: getCell(row, 'address'),
+			zone: getCell(row, 'zone'),
+			slots: Number(getCell(row, 'slots')),
+			connections: Number(getCell(row, 'connections')),
+			state: getCell(row, 'state') === 'leaving' ? 'leaving' : 'active',
+		}),
 };
 
 const subjectColumns: Readonly<Record<SheetKind, SheetColumn>> = {account: 'name', key: 'account', endpoint: 'group'};
--- a/packages/cli/src/tests/sheet/parse-sheet.test.ts
+++ b/packages/cli/src/tests/sheet/parse-sheet.test.ts
@@ -46,7 +46,7 @@
 });
 
 test('a byte-order mark, CRLF, quoted line breaks and non-ASCII names are read', t => {
-	const rows = parseText(`\uFEFFkind,name,rate,burst\r\naccount,Bâtiments Ñandú,5,5\r\naccount,"two\nlines",5,5\r\naccount,last,5,5\r\n`).unsafeCoerce();
+	const rows = parseText('\uFEFFkind,name,rate,burst\r\naccount,Bâtiments Ñandú,5,5\r\naccount,"two\nlines",5,5\r\naccount,last,5,5\r\n').unsafeCoerce();
 	t.deepEqual(rows.map(row => [row.line, row.cells.name]), [[2, 'Bâtiments Ñandú'], [3, 'two\nlines'], [5, 'last']]);
 });
 
--- a/packages/decisions/src/promotion/promotion-round.ts
+++ b/packages/decisions/src/promotion/promotion-round.ts
@@ -20,20 +20,21 @@
 /**
  * One attempt to give a group a new primary.
  * A majority of the instances has to refuse every older term first. A write is acknowledged only when
- * two instances hold it, so every majority of three holds one with all acknowledged writes: the most advanced.
+ * two instances hold it, so any majority of three that has accepted the term holds all acknowledged writes: its most
+ * advanced instance has them.
  */
 export class PromotionRound {
 	readonly #accepted: FenceAnswer[] = [];
 	#isOver = false;
+	#majorityAt: number | undefined;
 
 	/**
 	 * @param term - Term to take.
 	 * @param instances - Every instance of the group.
 	 * @param graceMs - Time that late answers are waited for once a majority has accepted.
+	 * @param failing - Instance that is being replaced; it leads again only where no majority is left without it.
 	 */
-	constructor(readonly term: number, private readonly instances: readonly string[], private readonly graceMs: number) {}
-
-	#majorityAt: number | undefined;
+	constructor(readonly term: number, private readonly instances: readonly string[], private readonly graceMs: number, private readonly failing?: string) {}
 
 	/** Takes in an answer. */
 	observeAnswer(answer: FenceAnswer, now: number): PromotionCommand {
@@ -65,7 +66,9 @@
 		}
 
 		this.#isOver = true;
-		const successor = this.#accepted.toSorted((a, b) => comparePositions(b.position, a.position) || (a.instance < b.instance ? -1 : 1))[0]!;
+		const others = this.#accepted.filter(answer => answer.instance !== this.failing);
+		const candidates = others.length >= getMajority(this.instances.length) ? others : this.#accepted;
+		const successor = candidates.toSorted((a, b) => comparePositions(b.position, a.position) || (a.instance < b.instance ? -1 : 1))[0]!;
 		return {kind: 'promote', instance: successor.instance, term: this.term};
 	}
 }
--- a/packages/proxy/src/groups/dispatcher.ts
+++ b/packages/proxy/src/groups/dispatcher.ts
@@ -33,8 +33,6 @@
 };
 
 const sweepMs = 20;
-/** Time before its deadline at which a waiting request is refused, in milliseconds. */
-const answerMarginMs = 20;
 
 /** Hands the connections of one group to the requests that wait for them. */
 export class Dispatcher {
@@ -70,7 +68,7 @@
 				account: request.account,
 				priority: request.priority,
 				weight: request.weight,
-				deadline: request.deadline - answerMarginMs,
+				deadline: request.deadline,
 				value: {request, resolve, wasPlaceable: true},
 			});
 			this.advance();
--- a/packages/proxy/src/groups/promoter.ts
+++ b/packages/proxy/src/groups/promoter.ts
@@ -71,7 +71,7 @@
 
 	async #fenceInstances(group: Group, term: number): Promise<PromotionCommand> {
 		const names = group.state.instances.map(instance => instance.name);
-		const round = new PromotionRound(term, names, graceMs);
+		const round = new PromotionRound(term, names, graceMs, group.state.primaryName);
 		return new Promise(resolve => {
 			const finish = (command: PromotionCommand) => {
 				if (command.kind !== 'wait') {
--- a/packages/proxy/src/requests/request-context.ts
+++ b/packages/proxy/src/requests/request-context.ts
@@ -6,7 +6,7 @@
 	readonly authorization: string;
 	/** The Idempotency-Key header, empty for none. */
 	readonly idempotencyKey: string;
-	/** Time by which the caller wants its answer. */
+	/** Time by which an answer or a refusal has to be sent. */
 	readonly deadline: number;
 	/** Trace that the request belongs to. */
 	readonly trace: Context;
--- a/packages/proxy/src/requests/write-runner.ts
+++ b/packages/proxy/src/requests/write-runner.ts
@@ -30,9 +30,6 @@
 	| {readonly kind: 'failed'; readonly stage: RequestStage}
 	| {readonly kind: 'refused'; readonly refusal: Refusal};
 
-/** Time kept back to tell the caller before its deadline, in milliseconds. */
-const answerMarginMs = 20;
-
 /** Runs writes on the primary and acknowledges them once a replica holds them in the same term. */
 export class WriteRunner {
 	constructor(private readonly parts: RequestParts) {}
@@ -99,7 +96,7 @@
 		});
 		const result = await tracing.runInSpan('endpoint execute', context.trace, async (own, span) => {
 			span.setAttributes({endpoint: slot.instance.name, group: group.state.name});
-			return slot.connection.execute(request, {timeoutMs: context.deadline - answerMarginMs - sentAt, traceparent: tracing.formatTraceparent(own)});
+			return slot.connection.execute(request, {timeoutMs: context.deadline - sentAt, traceparent: tracing.formatTraceparent(own)});
 		});
 		const durationMs = clock.getNow() - sentAt;
 		metrics.recordDuration('endpoint', durationMs);
@@ -149,7 +146,7 @@
 		}
 
 		const startedAt = clock.getNow();
-		const confirmation = await write.group.confirmer.confirm(position, term, context.deadline - answerMarginMs);
+		const confirmation = await write.group.confirmer.confirm(position, term, context.deadline);
 		metrics.recordDuration('confirm', clock.getNow() - startedAt);
 		return confirmation === 'confirmed'
 			? {kind: 'answered', answer: parseAnswer(response, true)}
@@ -164,7 +161,7 @@
 		}
 
 		const delayMs = getRetryDelayMs(attempt, this.parts.getRandom());
-		if (clock.getNow() + delayMs >= context.deadline - answerMarginMs) {
+		if (clock.getNow() + delayMs >= context.deadline) {
 			return refusals.deadlineNotRun();
 		}
 
--- a/packages/proxy/src/server/listeners.ts
+++ b/packages/proxy/src/server/listeners.ts
@@ -1,6 +1,6 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
 import {
-	createServer as createHttp2Server, type Http2Server, type Http2ServerRequest, type Http2ServerResponse,
+	createServer as createHttp2Server, type Http2Server, type Http2ServerRequest, type Http2ServerResponse, type ServerHttp2Session,
 } from 'node:http2';
 import {type AddressInfo, type Server as NetServer} from 'node:net';
 import {type Settings} from '../settings/index.js';
@@ -20,6 +20,7 @@
 	readonly callerHttp2: Http2Server;
 	readonly peer: Http2Server;
 	readonly operator: Server;
+	readonly #peerSessions = new Set<ServerHttp2Session>();
 
 	constructor(private readonly settings: Settings) {
 		const options = {headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: keepAliveTimeoutMs};
@@ -27,6 +28,12 @@
 		this.callerHttp2 = createHttp2Server();
 		this.peer = createHttp2Server();
 		this.operator = createServer(options);
+		this.peer.on('session', session => {
+			this.#peerSessions.add(session);
+			session.once('close', () => {
+				this.#peerSessions.delete(session);
+			});
+		});
 	}
 
 	get callerPort(): number {
@@ -71,6 +78,10 @@
 	/** Closes the other ports. */
 	closeControl(): void {
 		this.peer.close();
+		for (const session of this.#peerSessions) {
+			session.destroy();
+		}
+
 		this.operator.close();
 		this.operator.closeAllConnections();
 	}
--- a/packages/proxy/src/services/caller-service.ts
+++ b/packages/proxy/src/services/caller-service.ts
@@ -39,13 +39,17 @@
 	};
 }
 
+/** Time kept back so that a refusal reaches the caller before its deadline, in milliseconds. */
+const answerMarginMs = 25;
+const longestMarginShare = 0.2;
+
 function createContext({clock, deadlines, tracing}: CallerServiceParts, context: HandlerContext): RequestContext {
 	const header = context.requestHeader;
 	const timeoutMs = Math.min(context.timeoutMs() ?? deadlines.defaultMs, deadlines.longestMs);
 	return {
 		authorization: header.get('authorization') ?? '',
 		idempotencyKey: header.get('idempotency-key') ?? '',
-		deadline: clock.getNow() + timeoutMs,
+		deadline: clock.getNow() + timeoutMs - Math.min(answerMarginMs, timeoutMs * longestMarginShare),
 		trace: tracing.readContext(header.get('traceparent') ?? undefined),
 	};
 }
--- /dev/null
+++ b/packages/testkit/src/tests/faults/writes.test.ts
@@ -0,0 +1,87 @@
+import {ConnectError} from '@connectrpc/connect';
+import test from 'ava';
+import {RefusalDetailSchema} from '@chicorysaddle/protocol';
+import {startLocalProxies, waitFor} from '../local-proxies.js';
+
+type Refused = {readonly kind: string; readonly ran: string; readonly session: string};
+
+async function getRefusal(call: Promise<unknown>): Promise<Refused> {
+	try {
+		await call;
+	} catch (error) {
+		const [detail] = ConnectError.from(error).findDetails(RefusalDetailSchema);
+		return {kind: detail?.kind ?? String(error), ran: detail?.ran ?? '', session: detail?.session ?? ''};
+	}
+
+	return {kind: 'answered', ran: '', session: ''};
+}
+
+function keyed(idempotencyKey: string, timeoutMs = 5000) {
+	return {headers: {'idempotency-key': idempotencyKey}, timeoutMs};
+}
+
+test('a write is acknowledged only once a replica holds it, and never by a primary cut off from its group', async t => {
+	const local = await startLocalProxies({vms: 1});
+	const [group] = local.deployment.groups;
+	const primary = group!.getPrimary();
+	primary.isCutOff = true;
+	const file = {route: 'orders.file', parameters: {key: 'k', value: 'v', tag: 'v'}};
+	const cut = await getRefusal(local.createCaller(0).run(file, keyed('one', 500)));
+	t.deepEqual([cut.kind, cut.ran], ['deadline-unknown', 'unknown']);
+	t.is(primary.log.length, 1);
+
+	await waitFor(() => group!.getPrimary() !== primary);
+	const answer = await local.createCaller(0).run(file, keyed('one'));
+	t.is(answer.servedBy, 'primary');
+	t.is(group!.getPrimary().readValue('k'), 'v');
+	primary.isCutOff = false;
+	await waitFor(() => !primary.isPrimary && primary.position.term === group!.getPrimary().term);
+	t.is(primary.readValue('k'), 'v', 'the write of the former primary, never acknowledged, is gone');
+	await local.stop();
+});
+
+test('a write whose answer is lost runs once, also when it is asked for again at another proxy', async t => {
+	const local = await startLocalProxies({vms: 2});
+	const server = local.deployment.servers.find(({instance}) => instance.isPrimary)!;
+	server.loseNextAnswer = true;
+	const file = {route: 'orders.file', parameters: {key: 'k', value: 'v', tag: 'v'}};
+	const first = await local.createCaller(0).run(file, keyed('one'));
+	t.true(first.replayed, 'the proxy itself asked again and got the recorded answer');
+	const again = await local.createCaller(1).run(file, keyed('one'));
+	t.true(again.replayed);
+	t.is(server.instance.readValue('k'), 'v');
+	const other = await getRefusal(local.createCaller(1).run({...file, parameters: {key: 'k', value: 'w', tag: 'w'}}, keyed('one')));
+	t.deepEqual([other.kind, other.ran], ['request-mismatch', 'no']);
+	await local.stop();
+});
+
+test('a group that does not record requests: a lost answer is "unknown", and the claim keeps a repeat from running', async t => {
+	const local = await startLocalProxies({vms: 2, recordsRequestIds: false});
+	const server = local.deployment.servers.find(({instance}) => instance.isPrimary)!;
+	server.loseNextAnswer = true;
+	const file = {route: 'orders.file', parameters: {key: 'k', value: 'v', tag: 'v'}};
+	const lost = await getRefusal(local.createCaller(0).run(file, keyed('one')));
+	t.deepEqual([lost.kind, lost.ran], ['outcome-unknown', 'unknown']);
+	t.not(lost.session, '', 'the session learns that the group has to be read at its primary');
+	const again = await getRefusal(local.createCaller(1).run(file, keyed('one')));
+	t.deepEqual([again.kind, again.ran], ['outcome-unknown', 'unknown']);
+	t.is(server.instance.readValue('k'), 'v');
+	const read = await local.createCaller(1).run({route: 'orders.get', parameters: {key: 'k'}, session: lost.session});
+	t.deepEqual([read.servedBy, read.rows[0]?.columns.value], ['primary', 'v']);
+	await local.stop();
+});
+
+test('with both replicas gone a write is refused as not run, and with one gone it is served', async t => {
+	const local = await startLocalProxies({vms: 1});
+	const [first, second] = local.deployment.servers.filter(({instance}) => !instance.isPrimary);
+	const file = {route: 'orders.file', parameters: {key: 'k', value: 'v', tag: 'v'}};
+	first!.stop();
+	await local.createCaller(0).run(file, keyed('one'));
+	second!.stop();
+	await waitFor(async () => (await getRefusal(local.createCaller(0).run(file, keyed('two', 300)))).ran === 'no');
+	const refused = await getRefusal(local.createCaller(0).run(file, keyed('three', 300)));
+	t.deepEqual([refused.kind, refused.ran], ['no-primary', 'no']);
+	const primary = local.deployment.groups[0]!.getPrimary();
+	t.false(primary.log.some(entry => entry.operations.some(({value}) => value === 'three')));
+	await local.stop();
+});
