--- a/packages/model/src/errors/error-kind.ts
+++ b/packages/model/src/errors/error-kind.ts
@@ -9,9 +9,7 @@
 	| 'over-limit'
 	| 'overloaded'
 	| 'stale-view'
-	| 'draining'
 	| 'no-primary'
-	| 'no-replica-quorum'
 	| 'deadline-not-run'
 	| 'deadline-unknown'
 	| 'outcome-unknown'
@@ -64,9 +62,7 @@
 	'over-limit': describeAnswer('resource_exhausted', 'no', 1000),
 	overloaded: describeAnswer('unavailable', 'no', 500),
 	'stale-view': describeAnswer('unavailable', 'no', 500),
-	draining: describeAnswer('unavailable', 'no', 0),
 	'no-primary': describeAnswer('unavailable', 'no', 1000),
-	'no-replica-quorum': describeAnswer('unavailable', 'no', 1000),
 	'deadline-not-run': describeAnswer('deadline_exceeded', 'no', 0),
 	'deadline-unknown': describeAnswer('deadline_exceeded', 'unknown'),
 	'outcome-unknown': describeAnswer('unknown', 'unknown'),
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import sade from 'sade';
-import {loadSettings, type Settings} from './settings/index.js';
+import {formatSettingsReference, loadSettings, type Settings} from './settings/index.js';
 import {Proxy} from './wiring/index.js';
 
 const exitCodes = {done: 0, badSettings: 2} as const;
@@ -17,13 +17,24 @@
 	process.once('SIGINT', stop);
 }
 
-sade('chicorysaddled <settings>', true)
+sade('chicorysaddled [settings]', true)
 	.version('0.1.0')
 	.describe('Runs one proxy with the settings of a TOML file.')
+	.option('--reference', 'Print the reference of all settings and exit', false)
 	.option('--check', 'Check the settings and exit', false)
 	.example('/etc/chicorysaddle/vm.toml')
 	.example('--check /etc/chicorysaddle/vm.toml')
-	.action(async (file: string, options: {check?: boolean}) => {
+	.action(async (file: string | undefined, options: {check?: boolean; reference?: boolean}) => {
+		if (options.reference) {
+			process.stdout.write(formatSettingsReference());
+			return;
+		}
+
+		if (file === undefined) {
+			process.stderr.write('a file of settings is needed; see --help\n');
+			process.exit(exitCodes.badSettings);
+		}
+
 		const settings = await loadSettings(file);
 		await settings.caseOf({
 			async Left(errors) {
--- a/packages/proxy/src/settings/index.ts
+++ b/packages/proxy/src/settings/index.ts
@@ -1,2 +1,3 @@
 export * from './settings.js';
 export * from './load-settings.js';
+export * from './format-reference.js';
--- /dev/null
+++ b/packages/proxy/src/tests/settings/settings.test.ts
@@ -0,0 +1,34 @@
+import {readFile} from 'node:fs/promises';
+import test from 'ava';
+import {formatSettingsReference, parseSettings} from '../../index.js';
+
+const good = `
+[vm]
+name = "vm-1"
+zone = "z"
+[platform]
+address = "127.0.0.1:7900"
+[peers]
+secret = "a-shared-secret-of-some-length"
+`;
+
+test('settings are filled in with standard values', t => {
+	const settings = parseSettings('vm.toml', good).unsafeCoerce();
+	t.deepEqual([settings.ports.caller, settings.timeouts.freshness_ms, settings.policy.reads], [7000, 2500, 'product']);
+});
+
+test('every error names file, line and key, and what was expected', t => {
+	const bad = `${good}[ports]\ncaller = 70000\ncolour = "red"\n[timeouts]\nfreshness_ms = "soon"\n`;
+	t.deepEqual(parseSettings('vm.toml', bad).swap().orDefault([]).toSorted(), [
+		'vm.toml:10: ports.caller: Too big: expected number to be <=65535',
+		'vm.toml:11: ports.colour: Unrecognized key: "colour"',
+		'vm.toml:13: timeouts.freshness_ms: Invalid input: expected number, received string',
+	]);
+	t.regex(parseSettings('vm.toml', '[vm\n').swap().orDefault([])[0]!, /^vm\.toml:1:\d+: /v);
+	t.true(parseSettings('vm.toml', '[vm]\nname = "x"\n').swap().orDefault([]).some(error => error.includes('platform')));
+});
+
+test('the settings page is what the schema says', async t => {
+	const page = await readFile(new URL('../../../../../docs/SETTINGS.md', import.meta.url), 'utf8');
+	t.is(page, formatSettingsReference());
+});
