Limits: four allocators instead of one, leases handed over with their books

Cause: with one allocator its death touched every account, and a shutdown left 2 s without one. Change: accounts are divided into four parts by hash, each with a lease; a lease moves to the VM that ranks first for it, and on shutdown to a successor, together with pools and grants.

--- a/packages/decisions/src/limits/account-demand.ts
+++ b/packages/decisions/src/limits/account-demand.ts
@@ -39,6 +39,22 @@
 	readonly nextTokenMs: number;
 };
 
+/** A grant that may still be in use, as one allocator tells its successor. */
+export type GrantState = {
+	/** VM and incarnation of the holder. */
+	readonly holder: string;
+	readonly sequence: number;
+	readonly expiresInMs: number;
+	readonly accounts: readonly AccountShare[];
+};
+
+/** Everything that a successor has to know of an allocator. */
+export type AllocatorState = {
+	readonly sequence: number;
+	readonly pools: ReadonlyArray<{readonly account: string; readonly level: number}>;
+	readonly grants: readonly GrantState[];
+};
+
 /** Shares granted to one VM for a time. */
 export type ShareGrant = {
 	readonly sequence: number;
--- a/packages/decisions/src/limits/admission-control.ts
+++ b/packages/decisions/src/limits/admission-control.ts
@@ -107,7 +107,8 @@
 
 	/** Returns the report that is due, undefined where none is. */
 	getDueReport(now: number): ReportKind | undefined {
-		if (now - this.#lastFullReportAt >= fullReportMs) {
+		const isKnown = this.#arrivals.size > 0 || this.#holder.getAccounts().length > 0;
+		if (isKnown && now - this.#lastFullReportAt >= fullReportMs) {
 			return 'full';
 		}
 
--- a/packages/decisions/src/limits/share-allocator.ts
+++ b/packages/decisions/src/limits/share-allocator.ts
@@ -1,7 +1,7 @@
 import {type AccountLimits} from '@chicorysaddle/model';
 import {clockDriftShare} from '../leases/lease-voter.js';
 import {
-	type AccountDemand, type AccountShare, type DemandReport, type LimitsLookup, type ShareGrant,
+	type AccountDemand, type AccountShare, type AllocatorState, type DemandReport, type LimitsLookup, type ShareGrant,
 } from './account-demand.js';
 
 type Fractions = {readonly rate: number; readonly burst: number};
@@ -91,6 +91,34 @@
 		return {sequence: this.#sequence, validMs, accounts};
 	}
 
+	/** Writes down everything that a successor has to know; this allocator grants nothing afterwards. */
+	exportState(now: number): AllocatorState {
+		this.#removeExpired(now);
+		const pools = [...this.#pools.keys()].map(account => ({account, level: this.#fillPool(account, now).level}));
+		const grants = [...this.#holders].flatMap(([id, holder]) => holder.grants.map(grant => ({
+			holder: id,
+			sequence: grant.sequence,
+			expiresInMs: grant.expiresAt - now,
+			accounts: [...grant.fractions].map(([account, {rate, burst}]) => ({
+				account, rateFraction: rate, burstFraction: burst, tokens: 0, nextTokenMs: 0,
+			})),
+		})));
+		return {sequence: this.#sequence, pools, grants};
+	}
+
+	/** Takes over from a predecessor. What was on its way meanwhile only makes grants seem to last longer. */
+	importState(state: AllocatorState, now: number): void {
+		this.#sequence = state.sequence;
+		for (const {account, level} of state.pools) {
+			this.#pools.set(account, {level, updatedAt: now});
+		}
+
+		for (const grant of state.grants) {
+			const fractions = new Map(grant.accounts.map(share => [share.account, {rate: share.rateFraction, burst: share.burstFraction}]));
+			this.#getHolder(grant.holder).grants.push({sequence: grant.sequence, expiresAt: now + grant.expiresInMs, fractions});
+		}
+	}
+
 	/** Returns the fractions of an account that may be in use, which never exceed one. */
 	getCommitted(account: string, now: number): Fractions {
 		this.#removeExpired(now);
--- a/packages/proxy/src/limits/lease-keeper.ts
+++ b/packages/proxy/src/limits/lease-keeper.ts
@@ -4,30 +4,29 @@
 import {type Clock, type Logger} from '../observability/index.js';
 import {type ConfigurationKeeper} from '../configuration/index.js';
 import {type Membership} from '../membership/index.js';
+import {rankVms} from './rank-vms.js';
 
-/** Name of the lease that the allocator of limits holds. */
-export const allocatorLease = 'limits';
 /** Duration of the lease, in milliseconds. */
 export const leaseMs = 1500;
 /** Time between two renewals, in milliseconds. */
-export const renewalMs = 400;
+export const renewalMs = 500;
 const staggerMs = 60;
 const promiseTimeoutMs = 300;
 
-/** Seeks and keeps the lease of the allocator, and promises it to others. */
+/** Seeks and keeps one lease, and promises it to others. */
 export class LeaseKeeper {
 	readonly #voter: LeaseVoter;
 	readonly #candidate = new LeaseCandidate({durationMs: leaseMs, renewalMs, staggerMs});
 	#onAcquired: (now: number) => void = () => undefined;
 	#predecessor = '';
 
-	constructor(private readonly membership: Membership, private readonly configuration: ConfigurationKeeper, private readonly clock: Clock, private readonly logger: Logger) {
+	constructor(readonly lease: string, private readonly membership: Membership, private readonly configuration: ConfigurationKeeper, private readonly clock: Clock, private readonly logger: Logger) {
 		this.#voter = new LeaseVoter(clock.getNow(), leaseMs);
 	}
 
 	/** VM and incarnation of this process. */
 	get id(): string {
-		return `${this.membership.self.name}#${this.membership.self.incarnation}`;
+		return this.membership.id;
 	}
 
 	get term(): number {
@@ -57,8 +56,9 @@
 	findHolderVm(now: number): string | undefined {
 		const own = this.getHolder(now);
 		const words = this.membership.peers
-			.filter(peer => this.membership.isLive(peer, now) && peer.leaseHolder !== '')
-			.map(peer => ({holder: peer.leaseHolder, term: peer.leaseTerm}));
+			.filter(peer => this.membership.isLive(peer, now))
+			.flatMap(peer => peer.leases.get(this.lease) ?? [])
+			.filter(({holder}) => holder !== '');
 		const [best] = [...own === '' ? [] : [{holder: own, term: this.term}], ...words].toSorted((a, b) => b.term - a.term);
 		return best?.holder.split('#', 1)[0];
 	}
@@ -82,13 +82,14 @@
 	async advance(): Promise<void> {
 		const now = this.clock.getNow();
 		const voters = this.configuration.current.getVoters();
-		if (!voters.includes(this.membership.self.name) || this.membership.isDraining) {
+		const isRetiring = this.membership.isDraining && !this.isHeld(now);
+		if (!voters.includes(this.membership.self.name) || isRetiring) {
 			return;
 		}
 
 		this.#candidate.observeVacancy(this.#voter.getHolder(now) === '', now);
-		const live = this.membership.getLiveVms().filter(name => voters.includes(name));
-		const round = this.#candidate.startRound(Math.max(0, live.indexOf(this.membership.self.name)), now);
+		const ranked = rankVms(this.lease, this.membership.getLiveVms().filter(name => voters.includes(name)));
+		const round = this.#candidate.startRound(Math.max(0, ranked.indexOf(this.membership.self.name)), now);
 		if (round !== undefined) {
 			await this.#runRound(round, voters);
 		}
@@ -118,7 +119,7 @@
 		this.#voter.release(this.id);
 		await Promise.all(this.membership.peers.map(async peer => {
 			try {
-				await peer.client.releaseLease({lease: allocatorLease, holder: this.id}, {timeoutMs: promiseTimeoutMs});
+				await peer.client.releaseLease({lease: this.lease, holder: this.id}, {timeoutMs: promiseTimeoutMs});
 			} catch {
 				// The promise runs out by itself.
 			}
@@ -131,7 +132,7 @@
 			const isPromised = voter === this.membership.self.name ? this.#promiseToSelf(round) : await this.#askPromise(voter, round);
 			if (isPromised && this.#candidate.observePromise(round, voter, voters) && !wasHeld) {
 				const now = this.clock.getNow();
-				this.logger.info('lease gained', {lease: allocatorLease, term: round.term});
+				this.logger.info('lease gained', {lease: this.lease, term: round.term});
 				this.#onAcquired(now);
 			}
 		}));
@@ -154,7 +155,7 @@
 	async #askPromise(voter: string, round: LeaseRound): Promise<boolean> {
 		try {
 			const response = await this.membership.getPeer(voter)?.client.promiseLease({
-				lease: allocatorLease,
+				lease: this.lease,
 				...this.#createRequest(round),
 				term: BigInt(round.term),
 				configurationVersion: BigInt(this.configuration.version),
--- a/packages/proxy/src/limits/limiter.ts
+++ b/packages/proxy/src/limits/limiter.ts
@@ -1,7 +1,6 @@
-import {createHash} from 'node:crypto';
 import {type Either, Left, Right} from 'purify-ts';
 import {
-	type AdmissionDecision, defaultAllocatorOptions, type DemandReport, ShareAllocator, type ShareGrant,
+	type AdmissionDecision, type AllocatorState, defaultAllocatorOptions, type DemandReport, ShareAllocator, type ShareGrant,
 } from '@chicorysaddle/decisions';
 import {type AccountLimits, type Refusal, refusals} from '@chicorysaddle/model';
 import {type Clock, type Metrics} from '../observability/index.js';
@@ -9,23 +8,30 @@
 import {type Membership} from '../membership/index.js';
 import {AllocationChannel} from './allocation-channel.js';
 import {type LeaseKeeper} from './lease-keeper.js';
+import {type LeaseRegistry} from './lease-registry.js';
+import {rankVms} from './rank-vms.js';
+import {formatAllocatorState} from './state-codec.js';
 import {formatReport, parseGrant} from './share-codec.js';
 
 /** Names of the ways to divide limits between VMs. */
 export type LimitPolicyName = 'product' | 'static-split' | 'owner';
 
 const reportTimeoutMs = 400;
+const handOverTimeoutMs = 1000;
 const waiterSweepMs = 10;
 /** Validity of a share that never changes hands, in milliseconds. */
 const foreverMs = 1e12;
 
+/** How a successor answered; one that did not answer may have taken the books. */
+type HandOverOutcome = 'taken' | 'declined' | 'no-answer';
+
 type Pending = {readonly account: string; readonly resolve: (result: Either<Refusal, void>) => void};
 
 /** Parts that the limiter works with. */
 export type LimiterParts = {
 	readonly membership: Membership;
 	readonly configuration: ConfigurationKeeper;
-	readonly leases: LeaseKeeper;
+	readonly leases: LeaseRegistry;
 	readonly clock: Clock;
 	readonly metrics: Metrics;
 	readonly policy: LimitPolicyName;
@@ -35,16 +41,28 @@
 export class Limiter {
 	readonly #channels = new Map<string, AllocationChannel>();
 	readonly #pending = new Map<number, Pending>();
-	#allocator: ShareAllocator | undefined;
+	/** Allocators of the leases that this VM holds; one without a name under the policy of owners. */
+	readonly #allocators = new Map<string, ShareAllocator>();
+	/** Books of predecessors, until their lease is had. */
+	readonly #statesToTake = new Map<string, AllocatorState>();
 	#nextId = 1;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly parts: LimiterParts) {
-		parts.leases.setAcquiredListener(now => {
-			this.#allocator = this.#createAllocator(now);
-		});
+		for (const keeper of parts.leases.keepers) {
+			keeper.setAcquiredListener(now => {
+				const allocator = this.#createAllocator(now);
+				const state = this.#statesToTake.get(keeper.lease);
+				if (state !== undefined) {
+					allocator.importState(state, now);
+				}
+
+				this.#allocators.set(keeper.lease, allocator);
+			});
+		}
+
 		if (parts.policy === 'owner') {
-			this.#allocator = this.#createAllocator(parts.clock.getNow());
+			this.#allocators.set('', this.#createAllocator(parts.clock.getNow()));
 		}
 	}
 
@@ -79,20 +97,48 @@
 			return;
 		}
 
-		this.#getChannel('');
 		await Promise.all([...this.#channels.values()].map(async channel => channel.reportIfDue()));
 		this.#advance();
 	}
 
 	/** Answers the report of a VM, where this one is the allocator. */
-	answerReport(report: DemandReport): ShareGrant | undefined {
+	answerReport(report: DemandReport, lease: string): ShareGrant | undefined {
 		const now = this.parts.clock.getNow();
 		if (this.parts.policy === 'owner') {
-			return this.#allocator?.createGrant(report, Number.POSITIVE_INFINITY, now);
+			return this.#allocators.get('')?.createGrant(report, Number.POSITIVE_INFINITY, now);
 		}
 
-		const {leases} = this.parts;
-		return leases.isHeld(now) ? this.#allocator?.createGrant(report, leases.heldUntil, now) : undefined;
+		const keeper = this.parts.leases.getKeeper(lease);
+		return keeper?.isHeld(now) ? this.#allocators.get(lease)?.createGrant(report, keeper.heldUntil, now) : undefined;
+	}
+
+	/** Takes over the books of an allocator whose VM shuts down, where its lease can be had. */
+	async takeOver(lease: string, predecessor: string, term: number, state: AllocatorState): Promise<boolean> {
+		const keeper = this.parts.leases.getKeeper(lease);
+		this.#statesToTake.set(lease, state);
+		const isTaken = await keeper?.takeOver(predecessor, term) ?? false;
+		this.#statesToTake.delete(lease);
+		return isTaken;
+	}
+
+	/** Hands leases over to the VMs that rank first for them, so that the loss of a VM touches few accounts. */
+	async balanceLeases(): Promise<void> {
+		const {leases, clock, membership} = this.parts;
+		for (const keeper of leases.keepers) {
+			const successor = this.#findSuccessor(keeper.lease);
+			const allocator = this.#allocators.get(keeper.lease);
+			const isMisplaced = successor !== undefined && successor !== membership.self.name && membership.isSettled(successor);
+			if (!isMisplaced || allocator === undefined || !keeper.isHeld(clock.getNow())) {
+				continue;
+			}
+
+			const outcome = await this.#handOver(keeper, successor, allocator);
+			if (outcome === 'declined') {
+				this.#allocators.set(keeper.lease, allocator);
+			} else {
+				keeper.abandon();
+			}
+		}
 	}
 
 	/** Gives all shares back to the allocator. */
@@ -100,10 +146,10 @@
 		await Promise.all([...this.#channels.values()].map(async channel => channel.sendFarewell()));
 	}
 
-	/** Gives all shares back, and the lease where this VM holds it. */
+	/** Gives all shares back, and the leases that this VM holds. */
 	async leave(): Promise<void> {
 		await this.sendFarewell();
-		await this.#leaveLease();
+		await Promise.all(this.parts.leases.keepers.map(async keeper => this.#leaveLease(keeper)));
 	}
 
 	/** Returns the tokens that this VM holds for an account. */
@@ -116,7 +162,7 @@
 	}
 
 	readonly #channelNames: Readonly<Record<LimitPolicyName, (account: string) => string>> = {
-		product: () => '',
+		product: account => this.parts.leases.getLeaseOf(account),
 		'static-split': () => '',
 		owner: account => this.#findOwner(account),
 	};
@@ -146,12 +192,13 @@
 		return channel;
 	}
 
-	/** Sends a report to the owner of a channel; the channel without a name belongs to the holder of the lease. */
-	async #sendReport(report: DemandReport, owner: string): Promise<ShareGrant | undefined> {
+	/** Sends a report to the allocator of a channel, which is named for a lease or for the owner itself. */
+	async #sendReport(report: DemandReport, channel: string): Promise<ShareGrant | undefined> {
 		const {membership, leases, clock, metrics} = this.parts;
-		const target = owner === '' ? leases.findHolderVm(clock.getNow()) : owner;
+		const keeper = leases.getKeeper(channel);
+		const target = keeper === undefined ? channel : keeper.findHolderVm(clock.getNow());
 		if (target === membership.self.name) {
-			return this.answerReport(report);
+			return this.answerReport(report, channel);
 		}
 
 		const peer = target === undefined ? undefined : membership.getPeer(target);
@@ -161,30 +208,53 @@
 
 		metrics.addCount('limit_reports');
 		try {
-			return parseGrant(await peer.client.reportDemand(formatReport(report), {timeoutMs: reportTimeoutMs}));
+			return parseGrant(await peer.client.reportDemand({...formatReport(report), lease: channel}, {timeoutMs: reportTimeoutMs}));
 		} catch {
 			return undefined;
 		}
 	}
 
 	#findOwner(account: string): string {
-		const scored = this.parts.membership.getLiveVms().map(vm => ({vm, score: createHash('sha256').update(`${vm}/${account}`).digest('hex')}));
-		return scored.toSorted((a, b) => (a.score < b.score ? -1 : 1))[0]?.vm ?? this.parts.membership.self.name;
+		return rankVms(account, this.parts.membership.getLiveVms())[0] ?? this.parts.membership.self.name;
+	}
+
+	/** Returns the VM that ranks first for a lease. */
+	#findSuccessor(lease: string): string | undefined {
+		const {membership, configuration} = this.parts;
+		const voters = configuration.current.getVoters();
+		return rankVms(lease, membership.getLiveVms().filter(name => voters.includes(name)))[0];
 	}
 
-	/** Grants stay in use until they expire, so the lease is released only then. */
-	async #leaveLease(): Promise<void> {
-		const {leases, clock} = this.parts;
-		if (!leases.isHeld(clock.getNow())) {
+	/** Hands a lease over; where nobody takes it, it is released once every grant has expired. */
+	async #leaveLease(keeper: LeaseKeeper): Promise<void> {
+		const successor = this.#findSuccessor(keeper.lease);
+		const allocator = this.#allocators.get(keeper.lease);
+		if (!keeper.isHeld(this.parts.clock.getNow()) || allocator === undefined) {
 			return;
 		}
 
-		this.#allocator = undefined;
-		leases.abandon();
-		await new Promise(resolve => {
-			setTimeout(resolve, defaultAllocatorOptions.validMs);
-		});
-		await leases.releaseEverywhere();
+		const outcome = successor === undefined ? 'declined' : await this.#handOver(keeper, successor, allocator);
+		keeper.abandon();
+		if (outcome !== 'taken') {
+			await new Promise(resolve => {
+				setTimeout(resolve, defaultAllocatorOptions.validMs);
+			});
+			await keeper.releaseEverywhere();
+		}
+	}
+
+	/** Stops granting and offers the books and the lease to a successor. */
+	async #handOver(keeper: LeaseKeeper, successor: string, allocator: ShareAllocator): Promise<HandOverOutcome> {
+		this.#allocators.delete(keeper.lease);
+		const state = allocator.exportState(this.parts.clock.getNow());
+		try {
+			const response = await this.parts.membership.getPeer(successor)!.client.handOver({
+				...formatAllocatorState(state), lease: keeper.lease, holder: keeper.id, term: BigInt(keeper.term),
+			}, {timeoutMs: handOverTimeoutMs});
+			return response.taken ? 'taken' : 'declined';
+		} catch {
+			return 'no-answer';
+		}
 	}
 
 	#applyStaticSplit(): void {
--- a/packages/proxy/src/membership/exchange.ts
+++ b/packages/proxy/src/membership/exchange.ts
@@ -4,7 +4,7 @@
 import {type Clock} from '../observability/index.js';
 import {type ConfigurationKeeper} from '../configuration/index.js';
 import {type GroupRegistry} from '../groups/index.js';
-import {type LeaseKeeper} from '../limits/index.js';
+import {type LeaseRegistry} from '../limits/index.js';
 import {type Membership} from './membership.js';
 import {type Peer} from './peer.js';
 
@@ -17,7 +17,7 @@
 	readonly configuration: ConfigurationKeeper;
 	readonly freshness: Freshness;
 	readonly groups: GroupRegistry;
-	readonly leases: LeaseKeeper;
+	readonly leases: LeaseRegistry;
 	readonly clock: Clock;
 	readonly timeoutMs: number;
 };
@@ -94,8 +94,7 @@
 				primary: group.state.primaryName ?? '',
 				failingMs: Math.ceil(group.detector.getFailingMs(now)),
 			})),
-			leaseHolder: leases.getHolder(now),
-			leaseTerm: BigInt(leases.term),
+			leases: leases.describeLeases(now).map(({lease, holder, term}) => ({lease, holder, term: BigInt(term)})),
 		};
 	}
 
@@ -108,14 +107,14 @@
 		if (response.incarnation !== peer.incarnation) {
 			freshness.removePeerWord(peer.name);
 			peer.incarnation = response.incarnation;
+			peer.incarnationSince = sentAt;
 		}
 
 		peer.heardAt = Math.max(peer.heardAt, sentAt);
 		peer.configurationVersion = Number(response.configurationVersion);
 		peer.isSynchronized = response.synchronized;
 		peer.isDraining = response.draining;
-		peer.leaseHolder = response.leaseHolder;
-		peer.leaseTerm = Number(response.leaseTerm);
+		peer.leases = new Map(response.leases.map(({lease, holder, term}) => [lease, {holder, term: Number(term)}]));
 		this.#observeGroups(response, sentAt);
 		if (peer.configurationVersion > configuration.version) {
 			await configuration.pullFrom(peer);
--- a/packages/proxy/src/membership/membership.ts
+++ b/packages/proxy/src/membership/membership.ts
@@ -6,6 +6,8 @@
 const forgetMs = 10_000;
 /** A peer counts as live when it was heard within this time, in milliseconds. */
 const liveMs = 3000;
+/** A peer is settled when it was heard for this time without a restart, in milliseconds. */
+const settledMs = 3000;
 
 /** This VM as others see it. */
 export type OwnVm = {
@@ -25,6 +27,11 @@
 
 	constructor(readonly self: OwnVm, private readonly vmList: VmList, private readonly peerOptions: PeerOptions, private readonly clock: Clock) {}
 
+	/** VM and incarnation of this process. */
+	get id(): string {
+		return `${this.self.name}#${this.self.incarnation}`;
+	}
+
 	get peers(): Peer[] {
 		return [...this.#peers.values()];
 	}
@@ -57,6 +64,13 @@
 		return [...peers.map(peer => peer.name), ...this.isDraining ? [] : [this.self.name]].toSorted();
 	}
 
+	/** Says whether a peer has been heard for some time without a restart. */
+	isSettled(name: string): boolean {
+		const peer = this.#peers.get(name);
+		const now = this.clock.getNow();
+		return peer !== undefined && this.isLive(peer, now) && now - peer.incarnationSince >= settledMs;
+	}
+
 	isLive(peer: Peer, now: number): boolean {
 		return now - peer.heardAt <= liveMs;
 	}
--- a/packages/proxy/src/membership/peer.ts
+++ b/packages/proxy/src/membership/peer.ts
@@ -16,14 +16,15 @@
 export class Peer {
 	readonly client: Client<typeof PeerService>;
 	incarnation = '';
+	/** Time since when this incarnation is known. */
+	incarnationSince = Number.POSITIVE_INFINITY;
 	configurationVersion = 0;
 	isSynchronized = false;
 	isDraining = false;
 	/** Whether the platform lists it as leaving. */
 	isLeaving = false;
-	/** Holder of the allocator lease, as it knows. */
-	leaseHolder = '';
-	leaseTerm = 0;
+	/** Who holds each lease, as it knows. */
+	leases: ReadonlyMap<string, {readonly holder: string; readonly term: number}> = new Map();
 	/** Time at which the last question that it answered was sent. */
 	heardAt = Number.NEGATIVE_INFINITY;
 	/** Time at which it was last listed, or last asked this VM something. */
--- a/packages/proxy/src/services/operator-service.ts
+++ b/packages/proxy/src/services/operator-service.ts
@@ -9,7 +9,7 @@
 import {getBearerToken, hashKey, isSameHash} from '../access/index.js';
 import {type ConfigurationKeeper, formatChange} from '../configuration/index.js';
 import {type GroupRegistry} from '../groups/index.js';
-import {type LeaseKeeper, type Limiter} from '../limits/index.js';
+import {type LeaseRegistry, type Limiter} from '../limits/index.js';
 import {type Membership, type Peer} from '../membership/index.js';
 import {type Clock, type Metrics} from '../observability/index.js';
 import {formatRefusal} from './connect-error.js';
@@ -20,7 +20,7 @@
 	readonly configuration: ConfigurationKeeper;
 	readonly freshness: Freshness;
 	readonly groups: GroupRegistry;
-	readonly leases: LeaseKeeper;
+	readonly leases: LeaseRegistry;
 	readonly limiter: Limiter;
 	readonly clock: Clock;
 	readonly metrics: Metrics;
@@ -107,7 +107,7 @@
 		state: membership.isDraining ? 'draining' : 'live',
 		configurationVersion: BigInt(configuration.version),
 		freshnessAgeMs: Number.isFinite(ageMs) ? ageMs : -1,
-		leaseHolder: leases.findHolderVm(now) ?? '',
+		leaseHolder: leases.keepers.map(keeper => keeper.findHolderVm(now) ?? 'nobody').join(', '),
 		vms: membership.peers.map(peer => ({
 			name: peer.name, zone: peer.zone, state: describePeerState(peer, membership.isLive(peer, now)), configurationVersion: BigInt(peer.configurationVersion),
 		})),
--- a/packages/proxy/src/services/peer-service.ts
+++ b/packages/proxy/src/services/peer-service.ts
@@ -7,7 +7,7 @@
 import {hashKey, isSameHash} from '../access/index.js';
 import {type ConfigurationKeeper, parseChange} from '../configuration/index.js';
 import {
-	formatGrant, type LeaseKeeper, type Limiter, parseReport,
+	formatGrant, type LeaseRegistry, type Limiter, parseAllocatorState, parseReport,
 } from '../limits/index.js';
 import {type Exchange, type Membership, peerSecretHeader} from '../membership/index.js';
 import {type Clock, type Tracing} from '../observability/index.js';
@@ -19,7 +19,7 @@
 	readonly exchange: Exchange;
 	readonly configuration: ConfigurationKeeper;
 	readonly freshness: Freshness;
-	readonly leases: LeaseKeeper;
+	readonly leases: LeaseRegistry;
 	readonly limiter: Limiter;
 	readonly handlers: CallerHandlers;
 	readonly clock: Clock;
@@ -54,16 +54,22 @@
 				return {version: BigInt(configuration.version), synchronized: freshness.isSynchronized, vm: membership.self.name};
 			},
 			promiseLease(request) {
-				const answer = leases.promise({
+				const keeper = leases.getKeeper(request.lease);
+				if (keeper === undefined) {
+					return {promised: false};
+				}
+
+				const answer = keeper.promise({
 					holder: request.holder, term: Number(request.term), durationMs: request.durationMs, predecessor: request.predecessor,
 				}, Number(request.configurationVersion));
 				return {...answer, term: BigInt(answer.term), remainingMs: Math.ceil(answer.remainingMs)};
 			},
 			releaseLease(request) {
-				leases.release(request.holder);
+				leases.getKeeper(request.lease)?.release(request.holder);
 				return {};
 			},
-			reportDemand: request => formatGrant(limiter.answerReport(parseReport(request))),
+			reportDemand: request => formatGrant(limiter.answerReport(parseReport(request), request.lease)),
+			handOver: async request => ({taken: await limiter.takeOver(request.lease, request.holder, Number(request.term), parseAllocatorState(request))}),
 			forward: async request => runForwarded(parts, request),
 		});
 	};
--- a/packages/proxy/src/wiring/container.ts
+++ b/packages/proxy/src/wiring/container.ts
@@ -7,7 +7,7 @@
 import {ConfigurationKeeper} from '../configuration/index.js';
 import {HttpEndpointConnector} from '../endpoints/index.js';
 import {GroupRegistry, Promoter} from '../groups/index.js';
-import {LeaseKeeper, Limiter} from '../limits/index.js';
+import {LeaseRegistry, Limiter} from '../limits/index.js';
 import {Exchange, Membership, VoterKeeper} from '../membership/index.js';
 import {
 	type Clock, Logger, Metrics, systemClock, Tracing,
@@ -78,11 +78,11 @@
 }
 
 function bindLimits(container: Container, settings: Settings): void {
-	container.bind(LeaseKeeper).toDynamicValue(context => new LeaseKeeper(context.get(Membership), context.get(ConfigurationKeeper), context.get(partNames.clock), context.get(Logger))).inSingletonScope();
+	container.bind(LeaseRegistry).toDynamicValue(context => new LeaseRegistry(context.get(Membership), context.get(ConfigurationKeeper), context.get(partNames.clock), context.get(Logger))).inSingletonScope();
 	container.bind(Limiter).toDynamicValue(context => new Limiter({
 		membership: context.get(Membership),
 		configuration: context.get(ConfigurationKeeper),
-		leases: context.get(LeaseKeeper),
+		leases: context.get(LeaseRegistry),
 		clock: context.get(partNames.clock),
 		metrics: context.get(Metrics),
 		policy: settings.policy.limits,
@@ -90,7 +90,7 @@
 }
 
 function bindGroups(container: Container, settings: Settings): void {
-	container.bind(Promoter).toDynamicValue(context => new Promoter(context.get(LeaseKeeper).id, context.get(PlatformClient), context.get(partNames.clock), context.get(Logger), context.get(Metrics))).inSingletonScope();
+	container.bind(Promoter).toDynamicValue(context => new Promoter(context.get(Membership).id, context.get(PlatformClient), context.get(partNames.clock), context.get(Logger), context.get(Metrics))).inSingletonScope();
 	container.bind(GroupRegistry).toDynamicValue(context => new GroupRegistry(
 		settings.vm.name,
 		new HttpEndpointConnector({connectTimeoutMs: settings.timeouts.endpoint_connect_ms, sourceAddress: settings.vm.source_address}),
@@ -103,7 +103,7 @@
 		configuration: context.get(ConfigurationKeeper),
 		freshness: context.get(Freshness),
 		groups: context.get(GroupRegistry),
-		leases: context.get(LeaseKeeper),
+		leases: context.get(LeaseRegistry),
 		clock: context.get(partNames.clock),
 		timeoutMs: settings.peers.timeout_ms,
 	})).inSingletonScope();
@@ -137,7 +137,7 @@
 		...context.get(partNames.requestParts),
 		registry: context.get(TransactionRegistry),
 		requests: context.get(RequestRunner),
-		idPrefix: context.get(LeaseKeeper).id,
+		idPrefix: context.get(Membership).id,
 	})).inSingletonScope();
 	container.bind(CallerHandlers).toDynamicValue(context => new CallerHandlers({
 		requests: context.get(RequestRunner),
--- a/packages/proxy/src/wiring/proxy.ts
+++ b/packages/proxy/src/wiring/proxy.ts
@@ -5,7 +5,7 @@
 import {AccessGate} from '../access/index.js';
 import {ConfigurationKeeper} from '../configuration/index.js';
 import {GroupRegistry} from '../groups/index.js';
-import {LeaseKeeper, Limiter} from '../limits/index.js';
+import {LeaseRegistry, Limiter} from '../limits/index.js';
 import {Exchange, Membership, VoterKeeper} from '../membership/index.js';
 import {
 	Logger, Metrics, RepeatedTask, Tracing,
@@ -24,6 +24,7 @@
 	storePoll: 1000,
 	lease: 50,
 	demand: 100,
+	balance: 1000,
 	groups: 100,
 	sweep: 250,
 	voters: 2000,
@@ -66,7 +67,7 @@
 
 	/** Whether new requests are welcome. */
 	isReady(): boolean {
-		const hasAllocator = this.settings.policy.limits !== 'product' || this.#get(LeaseKeeper).findHolderVm(this.#container.get(partNames.clock).getNow()) !== undefined;
+		const hasAllocator = this.settings.policy.limits !== 'product' || this.#get(LeaseRegistry).isHeldEverywhere(this.#container.get(partNames.clock).getNow());
 		return !this.#get(Membership).isDraining && hasAllocator && this.#get(AccessGate).checkIdentity({account: '', keyHash: ''}).isRight() && this.#get(ConfigurationKeeper).version > 0 && this.#get(GroupRegistry).isExamined;
 	}
 
@@ -124,7 +125,7 @@
 			configuration: this.#get(ConfigurationKeeper),
 			freshness: this.#get(Freshness),
 			groups: this.#get(GroupRegistry),
-			leases: this.#get(LeaseKeeper),
+			leases: this.#get(LeaseRegistry),
 			limiter: this.#get(Limiter),
 			handlers: this.#get(CallerHandlers),
 			metrics: this.#get(Metrics),
@@ -187,7 +188,8 @@
 			await Promise.all(membership.peers.filter(peer => !known.includes(peer)).map(async peer => exchange.askPeer(peer)));
 		});
 		this.#repeat('exchange', this.settings.peers.exchange_ms, async () => exchange.askAll());
-		this.#repeat('lease', pauses.lease, async () => this.#get(LeaseKeeper).advance());
+		this.#repeat('lease', pauses.lease, async () => this.#get(LeaseRegistry).advance());
+		this.#repeat('balance', pauses.balance, async () => this.#get(Limiter).balanceLeases());
 		this.#repeat('demand', pauses.demand, async () => this.#get(Limiter).reportDemand());
 		this.#repeat('groups', pauses.groups, () => {
 			groups.advance();
--- /dev/null
+++ b/packages/testkit/src/bench/stand-in-server.ts
@@ -0,0 +1,17 @@
+import process from 'node:process';
+import {bootstrapConfiguration} from '../embedded/bootstrap.js';
+import {createDeployment} from '../stand-ins/index.js';
+
+/** Runs a platform and one group whose instances answer at once. */
+const deployment = await createDeployment({
+	groups: ['bench'], zones: ['z'], slots: 64, connections: 66, timing: {serviceMs: 0, openMs: 0, roundTripMs: 0},
+});
+deployment.platform.listVms = () => [{
+	name: 'vm-1', address: '', zone: 'z', state: 'live',
+}];
+await bootstrapConfiguration(deployment, {
+	accounts: [{
+		name: 'bench', rate: 1e6, burst: 1e6, key: 'csk_bench',
+	}], voters: ['vm-1'],
+});
+process.send?.({platform: deployment.platform.port, endpoint: deployment.servers[0]!.address});
--- /dev/null
+++ b/packages/testkit/src/capacity/main.ts
@@ -0,0 +1,186 @@
+import process from 'node:process';
+import {
+	AdmissionControl, type DemandReport, Freshness, ShareAllocator,
+} from '@chicorysaddle/decisions';
+import {Configuration, formatRow, type StoredRow} from '@chicorysaddle/model';
+import {Cluster, readCpuMs} from '../cluster/index.js';
+import {createAccounts, deployments} from '../measure/index.js';
+
+/** One slope: what one more unit costs. */
+type Slope = {readonly name: string; readonly value: number; readonly unit: string};
+
+const limits = {rate: 10, burst: 10, weight: 1};
+
+function readHeap(): number {
+	(globalThis as {gc?: () => void}).gc?.();
+	return process.memoryUsage().heapUsed;
+}
+
+/** Bytes of heap that each of a number of things takes. */
+function measureHeap(count: number, build: () => unknown): number {
+	const before = readHeap();
+	const held = build();
+	const after = readHeap();
+	return held === undefined ? 0 : (after - before) / count;
+}
+
+/** Microseconds that one run of a task takes. */
+function measureTime(count: number, task: (index: number) => void): number {
+	const startedAt = performance.now();
+	for (let index = 0; index < count; index += 1) {
+		task(index);
+	}
+
+	return ((performance.now() - startedAt) * 1000) / count;
+}
+
+function createRows(kind: 'account' | 'key' | 'endpoint', count: number): StoredRow[] {
+	return Array.from({length: count}, (_, index) => {
+		if (kind === 'account') {
+			return formatRow('account', `account-${index}`, limits);
+		}
+
+		return kind === 'key'
+			? formatRow('key', index.toString(16).padStart(64, '0'), {account: `account-${index}`, label: ''})
+			: formatRow('endpoint', `endpoint-${index}`, {
+				group: 'g', address: '127.0.0.1:1', zone: 'z', slots: 5, connections: 30, state: 'active',
+			});
+	});
+}
+
+function measureConfiguration(): Slope[] {
+	const count = 50_000;
+	const build = (rows: StoredRow[]) => () => {
+		const configuration = new Configuration();
+		configuration.applyChange({
+			version: 1, writeId: 'w', author: 'a', summary: '', rows: [formatRow('group', 'g', {recordsRequestIds: true}), ...rows],
+		}).ifLeft(errors => {
+			throw new Error(errors[0]);
+		});
+		return configuration;
+	};
+
+	const accounts = createRows('account', count);
+	const configuration = build(accounts)();
+	const keys = createRows('key', count);
+	const accountBytes = measureHeap(count, build(accounts));
+	const keyBytes = measureHeap(count, build([...accounts, ...keys])) - accountBytes;
+	const changeMicroseconds = measureTime(1000, index => {
+		configuration.applyChange({
+			version: index + 2, writeId: 'w', author: 'a', summary: '', rows: [formatRow('account', `account-${index}`, {...limits, rate: 20})],
+		});
+	});
+	return [
+		{name: 'memory of a client account', value: accountBytes, unit: 'B'},
+		{name: 'memory of a key', value: keyBytes, unit: 'B'},
+		{name: 'memory of an endpoint', value: measureHeap(count, build(createRows('endpoint', count))), unit: 'B'},
+		{name: 'CPU to apply a change of one row', value: changeMicroseconds, unit: 'us'},
+	];
+}
+
+function measureAllocator(): Slope[] {
+	const vms = 7;
+	const accounts = 1000;
+	const allocator = new ShareAllocator(0, () => limits);
+	const createReport = (vm: number): DemandReport => ({
+		vm: `vm-${vm}`, incarnation: '1', appliedSequence: 0, leaving: false, partial: false,
+		accounts: Array.from({length: accounts}, (_, index) => ({
+			account: `account-${index}`, perSecond: 1, waiting: 0, heldTokens: 0, returnedTokens: 0,
+		})),
+	});
+	const reports = Array.from({length: vms}, (_, vm) => createReport(vm));
+	const bytes = measureHeap(accounts * vms, () => {
+		for (const report of reports) {
+			allocator.createGrant(report, 1e9, 1);
+		}
+
+		return allocator;
+	});
+	const microseconds = measureTime(70, index => {
+		allocator.createGrant(reports[index % vms]!, 1e9, 2 + index);
+	}) / accounts;
+	const admission = new AdmissionControl(() => limits);
+	const admit = measureTime(100_000, index => {
+		admission.requestAdmission(index, 'a', index, index);
+	});
+	return [
+		{name: 'memory of the allocator, an account and VM', value: bytes, unit: 'B'},
+		{name: 'CPU of the allocator, a report of one account from one of 7 VMs', value: microseconds, unit: 'us'},
+		{name: 'CPU of one admission', value: admit, unit: 'us'},
+	];
+}
+
+function measureFreshness(): Slope[] {
+	const voters = Array.from({length: 2700}, (_, index) => `vm-${index}`);
+	const freshness = new Freshness('vm-0', 2500, 0);
+	for (const voter of voters) {
+		freshness.observePeerWord(voter, 10, []);
+	}
+
+	return [{
+		name: 'CPU of one check of freshness by majority, a voter', value: measureTime(50, () => {
+			freshness.isFresh(voters, 20);
+		}) / voters.length, unit: 'us',
+	}];
+}
+
+/** Runs idle clusters and returns what one VM spends. */
+async function measureCluster(vms: number): Promise<{cpuPercent: number; peerBytes: number; probeBytes: number; storeReads: number; memoryMb: number}> {
+	const profile = deployments.humidis;
+	const cluster = await Cluster.start({
+		vms, deployment: profile.stand, accounts: createAccounts(profile, 0), policy: {}, peerDelayMs: 1, listLagMs: 2000,
+	});
+	const settleMs = 15_000;
+	const windowMs = 15_000;
+	await wait(settleMs);
+	const before = await readCluster(cluster);
+	await wait(windowMs);
+	const after = await readCluster(cluster);
+	await cluster.stop();
+	const perVmSecond = (from: number, to: number) => (to - from) / vms / (windowMs / 1000);
+	return {
+		cpuPercent: perVmSecond(before.cpuMs, after.cpuMs) / 10,
+		peerBytes: perVmSecond(before.peerBytes, after.peerBytes),
+		probeBytes: perVmSecond(before.probeBytes, after.probeBytes),
+		storeReads: perVmSecond(before.storeReads, after.storeReads),
+		memoryMb: after.memoryMb / vms,
+	};
+}
+
+async function readCluster(cluster: Cluster): Promise<{cpuMs: number; peerBytes: number; probeBytes: number; storeReads: number; memoryMb: number}> {
+	const cpu = await Promise.all(cluster.vms.map(async vm => readCpuMs(vm.pid)));
+	const memory = await Promise.all(cluster.vms.map(async vm => vm.readMemoryMb()));
+	const sum = (values: readonly number[]) => values.reduce((total, value) => total + value, 0);
+	return {
+		cpuMs: sum(cpu),
+		// A byte on a link costs its sender and its receiver.
+		peerBytes: cluster.countPeerBytes() * 2,
+		probeBytes: sum(cluster.deployment.servers.map(server => server.countBytes())),
+		storeReads: cluster.deployment.platform.counters.reads,
+		memoryMb: sum(memory),
+	};
+}
+
+async function wait(durationMs: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, durationMs);
+	});
+}
+
+const slopes: Slope[] = [...measureConfiguration(), ...measureAllocator(), ...measureFreshness()];
+const small = await measureCluster(3);
+const large = await measureCluster(7);
+slopes.push(
+	{name: 'control CPU of a VM among 7, idle', value: large.cpuPercent, unit: '% of a core'},
+	{name: 'control CPU of a VM, a peer', value: (large.cpuPercent - small.cpuPercent) / 4, unit: '% of a core'},
+	{name: 'peer traffic of a VM among 7, both ways', value: large.peerBytes, unit: 'B/s'},
+	{name: 'peer traffic of a VM, a peer', value: (large.peerBytes - small.peerBytes) / 4, unit: 'B/s'},
+	{name: 'probe traffic of a VM among 7, 9 instances', value: large.probeBytes, unit: 'B/s'},
+	{name: 'store reads of a VM', value: large.storeReads, unit: '/s'},
+	{name: 'resident memory of an idle VM', value: large.memoryMb, unit: 'MB'},
+);
+for (const {name, value, unit} of slopes) {
+	process.stdout.write(`${name}: ${value.toPrecision(3)} ${unit}\n`);
+}
+
+process.exit(0);
--- a/packages/testkit/src/cluster/cluster.ts
+++ b/packages/testkit/src/cluster/cluster.ts
@@ -98,6 +98,16 @@
 		}
 	}
 
+	/** Returns the bytes that VMs have sent one another. */
+	countPeerBytes(): number {
+		let bytes = 0;
+		for (const link of this.#links.values()) {
+			bytes += link.bytes;
+		}
+
+		return bytes;
+	}
+
 	/** Returns the VMs that a balancer would use. */
 	getReadyVms(): VmProcess[] {
 		return this.vms.filter(vm => vm.isReady);
--- a/packages/testkit/src/cluster/link.ts
+++ b/packages/testkit/src/cluster/link.ts
@@ -5,6 +5,8 @@
 /** A one-way-dialled TCP link between two VMs that adds latency and can be cut. */
 export class Link {
 	isCut = false;
+	/** Bytes carried, both ways. */
+	bytes = 0;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 
@@ -52,6 +54,7 @@
 		from.setNoDelay(true);
 		// What is sent over a cut link vanishes; the connection does not break.
 		from.on('data', chunk => {
+			this.bytes += chunk.length;
 			setTimeout(() => {
 				if (!this.isCut) {
 					to.write(chunk);
--- a/packages/testkit/src/cluster/vm-process.ts
+++ b/packages/testkit/src/cluster/vm-process.ts
@@ -67,6 +67,12 @@
 		this.state = 'up';
 	}
 
+	/** Returns the resident memory, in megabytes. */
+	async readMemoryMb(): Promise<number> {
+		const status = await readFile(`/proc/${this.pid}/status`, 'utf8');
+		return Number(/VmRSS:\s+(?<kb>\d+)/v.exec(status)?.groups?.kb ?? 0) / 1024;
+	}
+
 	kill(): void {
 		this.state = 'gone';
 		this.isReady = false;
--- a/packages/testkit/src/measure/scenarios.ts
+++ b/packages/testkit/src/measure/scenarios.ts
@@ -159,9 +159,9 @@
 
 async function stopStore(world: World): Promise<void> {
 	world.cluster.deployment.platform.isDown = true;
-	// The allocator of limits goes first: its loss costs most.
+	// An allocator of limits goes first: its loss costs most.
 	const {leaseHolder} = await world.cluster.createOperator(world.cluster.vms[0]!).getStatus({});
-	const allocator = world.cluster.vms.find(({name}) => name === leaseHolder) ?? world.cluster.vms[0]!;
+	const allocator = world.cluster.vms.find(({name}) => leaseHolder.startsWith(name)) ?? world.cluster.vms[0]!;
 	const other = world.cluster.vms.find(vm => vm !== allocator)!;
 	for (const vm of [allocator, other]) {
 		await wait(world.durationMs / 4);
--- a/packages/testkit/src/stand-ins/endpoint-server.ts
+++ b/packages/testkit/src/stand-ins/endpoint-server.ts
@@ -60,6 +60,7 @@
 	readonly blockedSources = new Set<string>();
 	#server: Server | undefined;
 	#port = 0;
+	#closedBytes = 0;
 	readonly #sockets = new Map<Socket, SocketState>();
 	readonly #slotQueue: Array<() => void> = [];
 
@@ -73,6 +74,16 @@
 		return this.#sockets.size;
 	}
 
+	/** Returns the bytes received and sent. */
+	countBytes(): number {
+		let bytes = this.#closedBytes;
+		for (const socket of this.#sockets.keys()) {
+			bytes += socket.bytesRead + socket.bytesWritten;
+		}
+
+		return bytes;
+	}
+
 	async start(): Promise<void> {
 		const server = createServer({keepAliveTimeout: 0, requestTimeout: 0}, (request, response) => {
 			void this.#serve(request, response);
@@ -106,6 +117,7 @@
 
 		this.#sockets.set(socket, {isOpened: false, transaction: undefined});
 		socket.on('close', () => {
+			this.#closedBytes += socket.bytesRead + socket.bytesWritten;
 			this.#sockets.delete(socket);
 		});
 	}
