--- a/packages/proxy/src/endpoints/endpoint-connection.ts
+++ b/packages/proxy/src/endpoints/endpoint-connection.ts
@@ -81,6 +81,7 @@
 
 	/** Breaks the connection, so that a late answer cannot be read as another's; the next request opens it anew. */
 	#reset(): void {
+		this.#client.removeAllListeners('disconnect');
 		this.#client.destroy().catch(() => undefined);
 		if (!this.#isClosed) {
 			this.#losses += 1;
