--- /dev/null
+++ b/packages/testkit/src/tests/examples/embed.test.ts
@@ -0,0 +1,12 @@
+import {execFile} from 'node:child_process';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {promisify} from 'node:util';
+import test from 'ava';
+
+test('the example that embeds the limits stays within the rate and uses it', async t => {
+	const example = fileURLToPath(new URL('../../../../../examples/embed/limits.js', import.meta.url));
+	const {stdout} = await promisify(execFile)(process.execPath, [example]);
+	const [admitted, most] = stdout.match(/\d+/gv)!.map(Number);
+	t.true(admitted! <= most! && admitted! >= 90, stdout);
+});
