--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -2,3 +2,4 @@
 export * from './sheet-commands.js';
 export * from './row-commands.js';
 export * from './view-commands.js';
+export * from './top-command.js';
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,7 +2,7 @@
 import sade from 'sade';
 import {
 	applySheetFile, checkSheet, type CommonFlags, createAccount, type EndpointFlags, exitCodes, giveKey, joinEndpoint, leaveEndpoint, limitAccount, type LimitFlags,
-	listAccounts, planSheetFile, showConfiguration, showHistory, showStatus, withdrawKey,
+	listAccounts, planSheetFile, showConfiguration, showHistory, showStatus, showTop, type TopFlags, withdrawKey,
 } from './commands/index.js';
 
 /** Ends the process with the exit code of a command. */
@@ -67,6 +67,10 @@
 	.action(async (name: string, flags: CommonFlags) => finish(leaveEndpoint(name, flags)));
 program.command('status', 'Print the state of a proxy and of the others as it sees them')
 	.action(async (flags: CommonFlags) => finish(showStatus(flags)));
+program.command('top', 'Show a live view of one VM')
+	.option('--every', 'Seconds between two pictures', 2)
+	.option('--rounds', 'Number of pictures; without end where absent')
+	.action(async (flags: TopFlags) => finish(showTop(flags)));
 program.command('config show', 'Print the configuration in force')
 	.action(async (flags: CommonFlags) => finish(showConfiguration(flags)));
 program.command('config history', 'Print the latest changes')
--- a/packages/testkit/src/tests/cli/command-line.test.ts
+++ b/packages/testkit/src/tests/cli/command-line.test.ts
@@ -57,6 +57,7 @@
 	t.is((await run('account', 'limit', 'new', '--rate', '9')).code, 0);
 	t.true((await run('account', 'show', 'new')).out.includes('"rate":9'));
 	t.true((await run('status')).out.includes('limits allocated by vm-'));
+	t.regex((await run('top', '--rounds', '1')).out, /new +0\.0/v);
 	t.true((await run('config', 'history')).out.includes('limit client account new'));
 });
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -2,7 +2,7 @@
 const config = [
 	{files: ['**/bin/*.js', '**/container.ts'], rules: {'import-x/no-unassigned-import': 'off', 'n/no-unpublished-bin': 'off'}},
 	{
-		files: ['**/tests/**/*.ts'],
+		files: ['**/tests/**/*.ts', 'examples/**'],
 		rules: {
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off', 'ava/no-ignored-test-files': 'off', 'ava/assertion-arguments': 'off', 'unicorn/no-await-expression-member': 'off',
