Limits: a VM gets a rate of its own only with room for four tokens

Cause: for small accounts the parts of the burst set aside for local rates (from 1.5 tokens a VM) left the pool short while demand was estimated high by chance. Change: four tokens at least.

--- a/packages/decisions/src/limits/share-allocator.ts
+++ b/packages/decisions/src/limits/share-allocator.ts
@@ -43,7 +43,7 @@
 const noFractions: Fractions = {rate: 0, burst: 0};
 const smallest = 1e-9;
 /** Tokens that a VM's part of a burst has to have room for, before it gets a rate of its own. */
-const leastRoom = 1.5;
+const leastRoom = 4;
 /** Longest time that a refusal names, in milliseconds. */
 const longestEstimateMs = 60_000;
 
