--- a/packages/proxy/src/requests/request-runner.ts
+++ b/packages/proxy/src/requests/request-runner.ts
@@ -48,7 +48,9 @@
 		const startedAt = clock.getNow();
 		const checked = this.#checkRequest(request, context);
 		if (checked.isLeft()) {
-			return Left({refusal: checked.extract(), session: ''});
+			const refusal = checked.swap().unsafeCoerce();
+			metrics.addCount(`refused_kind.${refusal.kind}`);
+			return Left({refusal, session: ''});
 		}
 
 		const {route, caller, session} = checked.unsafeCoerce();
--- a/packages/testkit/src/tests/server/hostile-callers.test.ts
+++ b/packages/testkit/src/tests/server/hostile-callers.test.ts
@@ -46,4 +46,6 @@
 	t.regex(await sendRaw(local, 'NONSENSE\r\n\r\n', false), /^HTTP\/1\.1 400/v);
 	await sendRaw(local, `POST ${path} HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: 100\r\n\r\n{"route"`, true);
 	t.is((await post(local, good)).status, 200);
+	const metrics = await fetch(`http://127.0.0.1:${local.proxies[0]!.operatorPort}/metrics`);
+	t.regex(await metrics.text(), /chicorysaddle_refused_kind_session_invalid 4\n/v);
 });
