--- a/packages/decisions/src/freshness/index.ts
+++ b/packages/decisions/src/freshness/index.ts
@@ -1,1 +1,2 @@
 export * from './freshness.js';
+export * from './position-log.js';
--- a/packages/decisions/src/limits/index.ts
+++ b/packages/decisions/src/limits/index.ts
@@ -2,3 +2,5 @@
 export * from './share-allocator.js';
 export * from './share-holder.js';
 export * from './admission-control.js';
+export * from './token-bucket.js';
+export * from './divide-limit.js';
--- a/packages/decisions/src/promotion/index.ts
+++ b/packages/decisions/src/promotion/index.ts
@@ -1,2 +1,3 @@
 export * from './failure-detector.js';
 export * from './promotion-round.js';
+export * from './primary-judge.js';
--- /dev/null
+++ b/packages/gateway/src/configuration/configuration-keeper.ts
@@ -0,0 +1,105 @@
+import {type DecisionLog} from '../observability/index.js';
+import {type ConfigurationReading, type CoordinationTable, type StoreResult} from '../ports/index.js';
+import {formatConfiguration, parseConfiguration} from './configuration-codec.js';
+import {type ConfigurationView} from './configuration-view.js';
+import {type GatewayConfiguration} from './gateway-configuration.js';
+
+/** Longest wait for a new version in one call, milliseconds: a connection that went silent is given up soon after. */
+const pollWaitMs = 4000;
+
+/** Time for a call beyond its wait, milliseconds. */
+const callTimeoutMs = 1000;
+
+/** Pause after a call that failed, milliseconds. */
+const failurePauseMs = 250;
+
+/** Keeps the newest configuration in force: from the store, and from other VMs while the store turns this one away. */
+export class ConfigurationKeeper {
+	#encoded: string | undefined;
+	#storeVersion: number | undefined;
+	#isStopped = false;
+	#isStoreAway = false;
+	readonly #listeners: Array<(configuration: GatewayConfiguration) => void> = [];
+
+	constructor(private readonly table: CoordinationTable, private readonly view: ConfigurationView, private readonly log: DecisionLog) {}
+
+	/** The configuration in force as other VMs are sent it. */
+	get encoded(): string | undefined {
+		const {configuration} = this.view;
+		this.#encoded ??= configuration === undefined ? undefined : formatConfiguration(configuration);
+		return this.#encoded;
+	}
+
+	onApplied(listener: (configuration: GatewayConfiguration) => void): void {
+		this.#listeners.push(listener);
+	}
+
+	/** Reads and follows the configuration until it is stopped. */
+	async run(): Promise<void> {
+		while (!this.#isStopped) {
+			const result = await this.#read();
+			if (result.kind === 'ok') {
+				this.#observeStore(true, '');
+				this.#storeVersion = result.value.storeVersion;
+				if (result.value.configuration !== undefined) {
+					this.#apply(result.value.configuration, 'store');
+				}
+			} else {
+				// What the store's history no longer holds is read in full.
+				this.#storeVersion = undefined;
+				this.#observeStore(result.failure.reason === 'history-gone', `${result.failure.reason}: ${result.failure.message}`);
+				await pause(failurePauseMs);
+			}
+		}
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+	}
+
+	/**
+	 * Takes in a configuration from another VM.
+	 * @param text - What the other VM formatted.
+	 */
+	applyEncoded(text: string, source: string): void {
+		parseConfiguration(text).ifRight(configuration => {
+			this.#apply(configuration, source);
+		}).ifLeft(reason => {
+			this.log.logState('configuration.unreadable', {source, reason});
+		});
+	}
+
+	async #read(): Promise<StoreResult<ConfigurationReading>> {
+		return this.#storeVersion === undefined
+			? this.table.readConfiguration(callTimeoutMs)
+			: this.table.pollConfiguration(this.#storeVersion, pollWaitMs, pollWaitMs + callTimeoutMs);
+	}
+
+	#apply(configuration: GatewayConfiguration, source: string): void {
+		const before = this.view.version;
+		if (!this.view.applyConfiguration(configuration)) {
+			return;
+		}
+
+		this.#encoded = undefined;
+		this.log.logState('configuration.applied', {
+			version: configuration.version, before, source, routes: configuration.routes.length, accounts: configuration.accounts.length,
+		});
+		for (const listener of this.#listeners) {
+			listener(configuration);
+		}
+	}
+
+	#observeStore(isThere: boolean, why: string): void {
+		if (this.#isStoreAway === isThere) {
+			this.#isStoreAway = !isThere;
+			this.log.logState(isThere ? 'store.regained' : 'store.lost', {call: 'configuration', why});
+		}
+	}
+}
+
+async function pause(ms: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -0,0 +1,381 @@
+import {type Server} from 'node:net';
+import {type Moment} from '@chicorysaddle/decisions';
+import {
+	type Heartbeat, type PeerMessage, type Report, type parsePeerMessage,
+} from '@chicorysaddle/protocol/coordination';
+import {type ConfigurationKeeper, type ConfigurationView} from '../configuration/index.js';
+import {type Dispatcher} from '../dispatch/index.js';
+import {type AccountLimiter} from '../limits/index.js';
+import {type DecisionLog} from '../observability/index.js';
+import {type Clock, type CoordinationTable} from '../ports/index.js';
+import {type TermRegistry} from '../terms/index.js';
+import {type Coordinator} from './coordinator.js';
+import {type DutyKeeper} from './duty-keeper.js';
+import {type GatewayIdentity} from './gateway-identity.js';
+import {connectPeer, listenForPeers, parseSocketAddress, type PeerLink} from './peer-link.js';
+import {type Promoter} from './promoter.js';
+import {
+	type DutyRow, getMemberKey, parseSharedRows, type SharedState,
+} from './shared-rows.js';
+
+/** Interval of the loop, milliseconds. */
+const tickMs = 50;
+
+/** Interval of heartbeats, milliseconds: a term lease spans several. */
+const heartbeatMs = 400;
+
+/** Least time between two heartbeats, milliseconds. */
+const hastyHeartbeatMs = 100;
+
+/** Time without an answer after which the store is asked instead, milliseconds. */
+const coordinatorSilentMs = 900;
+
+/** Interval at which the store is asked while no coordinator answers, milliseconds. */
+const storePollMs = 400;
+
+/** Time for a call to the store, milliseconds. */
+const callTimeoutMs = 800;
+
+/** Time without a heartbeat after which the coordinator drops a VM's row, milliseconds. */
+const memberGoneMs = 20_000;
+
+/** Interval at which the coordinator looks at the members, milliseconds. */
+const memberCheckMs = 5000;
+
+type SentHeartbeat = {readonly sequence: number; readonly at: Moment};
+
+/** Keeps this VM's place among the others: its leases, shares, and what it tells of itself. */
+export class ClusterMember {
+	#server: Server | undefined;
+	#timer: NodeJS.Timeout | undefined;
+	#link: PeerLink | undefined;
+	#linkAddress = '';
+	#coordinator: DutyRow | undefined;
+	#registeredVersion = 0;
+	#isRegistered = false;
+	#sent: SentHeartbeat[] = [];
+	#sequence = 0;
+	#sentAt = Number.NEGATIVE_INFINITY;
+	#answeredAt = Number.NEGATIVE_INFINITY;
+	#echo: {readonly stampMs: number; readonly receivedAt: number} | undefined;
+	#polledAt = Number.NEGATIVE_INFINITY;
+	#isPolling = false;
+	#checkedMembersAt = 0;
+	#isUrgent = false;
+
+	constructor(
+		private readonly identity: GatewayIdentity,
+		private readonly duty: DutyKeeper,
+		private readonly coordinator: Coordinator,
+		private readonly promoter: Promoter,
+		private readonly terms: TermRegistry,
+		private readonly configuration: ConfigurationView,
+		private readonly keeper: ConfigurationKeeper,
+		private readonly dispatcher: Dispatcher,
+		private readonly limiter: AccountLimiter,
+		private readonly table: CoordinationTable,
+		private readonly clock: Clock,
+		private readonly log: DecisionLog,
+	) {
+		terms.onChanged(() => {
+			this.#isUrgent = true;
+		});
+	}
+
+	async start(): Promise<void> {
+		this.#server = await listenForPeers(parseSocketAddress(this.identity.peerAddress), link => ({
+			onMessage: message => {
+				this.#receiveFromPeer(link, message);
+			},
+			onClosed() {
+				// The next heartbeat comes on another link.
+			},
+		}));
+		this.#schedule();
+	}
+
+	stop(): void {
+		clearTimeout(this.#timer);
+		this.#link?.close();
+		this.#server?.close();
+	}
+
+	/** Removes this VM from the members, so that nobody waits for it. */
+	async leave(): Promise<void> {
+		if (this.#isRegistered) {
+			await this.table.writeSharedRows([{key: getMemberKey(this.identity.vm), expectedVersion: this.#registeredVersion, value: undefined}], callTimeoutMs);
+		}
+	}
+
+	#schedule(): void {
+		this.#timer = setTimeout(() => {
+			this.#tick();
+			this.#schedule();
+		}, tickMs);
+	}
+
+	#tick(): void {
+		const now = this.clock.now();
+		if (this.duty.isHeld()) {
+			this.#coordinate(now);
+			return;
+		}
+
+		this.#sendHeartbeat(now);
+		if (now - this.#answeredAt > coordinatorSilentMs && now - this.#polledAt > storePollMs && !this.#isPolling) {
+			void this.#pollStore();
+		}
+	}
+
+	#coordinate(now: number): void {
+		this.#link?.close();
+		this.#link = undefined;
+		this.terms.confirm(this.terms.getMoment());
+		if (now - this.#sentAt >= heartbeatMs) {
+			this.#sentAt = now;
+			this.#applyShares(this.coordinator.receiveHeartbeat(this.#createHeartbeat(), undefined), now);
+		}
+
+		void this.duty.renew();
+		this.promoter.sweep();
+		if (now - this.#checkedMembersAt > memberCheckMs) {
+			this.#checkedMembersAt = now;
+			void this.#checkMembers();
+		}
+	}
+
+	async #checkMembers(): Promise<void> {
+		const result = await this.table.readSharedRows(callTimeoutMs);
+		if (result.kind === 'failed') {
+			return;
+		}
+
+		const {members} = parseSharedRows(result.value, this.log);
+		this.coordinator.setRegistered(new Set(members.keys()));
+		for (const vm of this.coordinator.getSilent(memberGoneMs)) {
+			const row = members.get(vm);
+			if (row !== undefined && await this.duty.writeRows([{key: getMemberKey(vm), expectedVersion: row.version, value: undefined}]) !== undefined) {
+				this.log.logState('member.removed', {member: vm, silentMs: memberGoneMs});
+				this.coordinator.removeMember(vm);
+			}
+		}
+	}
+
+	#sendHeartbeat(now: number): void {
+		const target = this.#coordinator;
+		if (target === undefined || target.holder === this.identity.vm) {
+			return;
+		}
+
+		const interval = this.#isUrgent ? hastyHeartbeatMs : heartbeatMs;
+		if (now - this.#sentAt < interval) {
+			return;
+		}
+
+		this.#isUrgent = false;
+		this.#sentAt = now;
+		if (this.#link?.isOpen !== true || this.#linkAddress !== target.address || now - Math.max(this.#answeredAt, this.#linkOpenedAt) > coordinatorSilentMs) {
+			this.#openLink(target.address, now);
+		}
+
+		const heartbeat = this.#createHeartbeat();
+		this.#sent.push({sequence: heartbeat.sequence, at: this.terms.getMoment()});
+		this.#sent = this.#sent.slice(-8);
+		this.#link?.send(heartbeat);
+	}
+
+	#linkOpenedAt = Number.NEGATIVE_INFINITY;
+
+	#openLink(address: string, now: number): void {
+		this.#link?.close();
+		this.#linkAddress = address;
+		this.#linkOpenedAt = now;
+		const link = connectPeer(parseSocketAddress(address), message => {
+			this.#receiveFromCoordinator(message);
+		}, () => {
+			// The next heartbeat opens another link.
+		});
+		this.#link = link;
+	}
+
+	#createHeartbeat(): Heartbeat {
+		this.#sequence += 1;
+		const now = this.clock.now();
+		const evidence: Heartbeat['evidence'] = {};
+		const positions: Heartbeat['positions'] = {};
+		const revisions: Heartbeat['revisions'] = {};
+		for (const term of this.terms.getTerms()) {
+			revisions[term.group] = term.revision;
+			const position = this.terms.getNewestPosition(term.group);
+			if (position !== undefined) {
+				positions[term.group] = position;
+			}
+
+			const seen = this.dispatcher.getTracker(term.primaryId)?.createEvidence(this.identity.vm);
+			if (seen !== undefined) {
+				evidence[term.group] = {
+					instanceId: seen.instanceId,
+					answeredAgoMs: seen.answeredAt === undefined ? undefined : now - seen.answeredAt,
+					failingForMs: seen.failingSince === undefined ? undefined : now - seen.failingSince,
+					isRefused: seen.isRefused,
+				};
+			}
+		}
+
+		return {
+			kind: 'heartbeat',
+			vm: this.identity.vm,
+			incarnation: this.identity.incarnation,
+			sequence: this.#sequence,
+			demands: this.limiter.measureDemands(),
+			positions,
+			evidence,
+			revisions,
+			configurationVersion: this.configuration.version,
+			echo: this.#echo === undefined ? undefined : {stampMs: this.#echo.stampMs, ageMs: now - this.#echo.receivedAt},
+		};
+	}
+
+	#receiveFromPeer(link: PeerLink, message: ReturnType<typeof parsePeerMessage>): void {
+		switch (message.kind) {
+			case 'heartbeat': {
+				link.send(this.duty.isHeld() ? this.coordinator.receiveHeartbeat(message, link) : {kind: 'not-coordinator'});
+				return;
+			}
+
+			case 'configuration-request': {
+				const {encoded} = this.keeper;
+				if (encoded !== undefined) {
+					link.send({kind: 'configuration-reply', version: this.configuration.version, encoded});
+				}
+
+				return;
+			}
+
+			case 'invalid': {
+				this.log.logState('peer.invalid', {reason: message.reason});
+				link.close();
+				return;
+			}
+
+			default: {
+				this.log.logState('peer.unexpected', {message: message.kind});
+			}
+		}
+	}
+
+	#receiveFromCoordinator(message: ReturnType<typeof parsePeerMessage>): void {
+		switch (message.kind) {
+			case 'report': {
+				this.#receiveReport(message);
+				return;
+			}
+
+			case 'configuration-reply': {
+				this.keeper.applyEncoded(message.encoded, 'peer');
+				return;
+			}
+
+			case 'not-coordinator': {
+				this.#answeredAt = Number.NEGATIVE_INFINITY;
+				return;
+			}
+
+			default: {
+				this.log.logState('peer.unexpected', {message: message.kind});
+			}
+		}
+	}
+
+	#receiveReport(report: Report): void {
+		const now = this.clock.now();
+		for (const term of report.terms) {
+			this.terms.applyTerm(term);
+		}
+
+		this.duty.observeVersion(report.dutyRevision);
+		this.#echo = {stampMs: report.stampMs, receivedAt: now};
+		if (report.configurationVersion > this.configuration.version) {
+			this.#link?.send({kind: 'configuration-request'} satisfies PeerMessage);
+		}
+
+		const sent = this.#sent.find(heartbeat => heartbeat.sequence === report.sequence);
+		if (sent === undefined) {
+			return;
+		}
+
+		this.#answeredAt = now;
+		this.terms.confirm(sent.at);
+		for (const [group, {position, ageMs}] of Object.entries(report.positions)) {
+			this.terms.observePosition(group, position, sent.at.steady - ageMs);
+		}
+
+		this.#applyShares(report, sent.at.steady);
+	}
+
+	#applyShares(report: Report, at: number): void {
+		this.limiter.setMembers(report.members);
+		this.dispatcher.setMembers(report.members);
+		this.limiter.applyShares(report.shares, at);
+	}
+
+	async #pollStore(): Promise<void> {
+		this.#isPolling = true;
+		this.#polledAt = this.clock.now();
+		try {
+			if (!this.#isRegistered) {
+				await this.#register();
+			}
+
+			const at = this.terms.getMoment();
+			const result = await this.table.readSharedRows(callTimeoutMs);
+			if (result.kind === 'ok') {
+				await this.#applyState(parseSharedRows(result.value, this.log), at);
+			} else {
+				this.log.logState('store.unavailable', {call: 'shared rows', reason: result.failure.reason, why: result.failure.message});
+			}
+		} finally {
+			this.#isPolling = false;
+		}
+	}
+
+	async #register(): Promise<void> {
+		const result = await this.table.readSharedRows(callTimeoutMs);
+		if (result.kind === 'failed') {
+			return;
+		}
+
+		const known = parseSharedRows(result.value, this.log).members.get(this.identity.vm);
+		const value = JSON.stringify({address: this.identity.peerAddress, zone: this.identity.zone, incarnation: this.identity.incarnation});
+		const written = await this.table.writeSharedRows([{key: getMemberKey(this.identity.vm), expectedVersion: known?.version ?? 0, value}], callTimeoutMs);
+		if (written.kind === 'ok' && written.value.isApplied) {
+			this.#isRegistered = true;
+			this.#registeredVersion = written.value.version;
+			this.log.logState('member.registered', {version: written.value.version});
+		}
+	}
+
+	async #applyState(state: SharedState, at: Moment): Promise<void> {
+		for (const term of state.terms.values()) {
+			this.terms.applyTerm(term);
+		}
+
+		// Only a VM that others know of may rely on what it read: a closing term waits for the known ones.
+		this.#isRegistered = state.members.get(this.identity.vm)?.incarnation === this.identity.incarnation;
+		if (this.#isRegistered) {
+			this.#registeredVersion = state.members.get(this.identity.vm)!.version;
+			this.terms.confirm(at);
+		}
+
+		this.limiter.setMembers(state.members.size);
+		this.dispatcher.setMembers(state.members.size);
+		this.#coordinator = state.duty;
+		if (state.duty !== undefined) {
+			this.duty.resume(state.duty, at);
+		}
+
+		if (this.#isRegistered && !this.duty.isHeld() && this.duty.isVacant(state.duty) && await this.duty.takeOver(state.duty)) {
+			this.coordinator.setRegistered(new Set(state.members.keys()));
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -0,0 +1,173 @@
+import {type BucketLimit, divideLimit, type PrimaryEvidence} from '@chicorysaddle/decisions';
+import {type LogPosition} from '@chicorysaddle/model';
+import {type Heartbeat, type Report} from '@chicorysaddle/protocol/coordination';
+import {type ConfigurationView} from '../configuration/index.js';
+import {type Clock} from '../ports/index.js';
+import {termLeaseMs, type TermRegistry} from '../terms/index.js';
+import {type DutyKeeper} from './duty-keeper.js';
+import {type PeerLink} from './peer-link.js';
+
+/** Time without a heartbeat after which a VM's demand and evidence no longer count, milliseconds. */
+const heardMs = 1500;
+
+/** Slack on top of a lease that has to run out, milliseconds. */
+const leaseMarginMs = 50;
+
+type MemberState = {
+	link: PeerLink | undefined;
+	heartbeat: Heartbeat;
+	heardAt: number;
+};
+
+/** What the coordinator knows of the VMs: it answers their heartbeats and divides what they share. */
+export class Coordinator {
+	readonly #members = new Map<string, MemberState>();
+	#registered: ReadonlySet<string> = new Set();
+
+	constructor(
+		private readonly vm: string,
+		private readonly duty: DutyKeeper,
+		private readonly terms: TermRegistry,
+		private readonly configuration: ConfigurationView,
+		private readonly clock: Clock,
+	) {}
+
+	/** VMs that may hold a lease or a share, this one included. */
+	get memberCount(): number {
+		return new Set([...this.#registered, ...this.#members.keys(), this.vm]).size;
+	}
+
+	/** Sets the VMs that the store lists. */
+	setRegistered(vms: ReadonlySet<string>): void {
+		this.#registered = vms;
+	}
+
+	/** Returns the registered VMs that have not been heard for a time. */
+	getSilent(silentMs: number): string[] {
+		const now = this.clock.now();
+		return [...this.#registered].filter(vm => vm !== this.vm && now - Math.max(this.#members.get(vm)?.heardAt ?? 0, this.duty.tookOverAt) > silentMs);
+	}
+
+	/** Forgets a VM that is gone. */
+	removeMember(vm: string): void {
+		this.#members.delete(vm);
+	}
+
+	/**
+	 * Answers a heartbeat.
+	 * @param ownDemands - Demands of this VM.
+	 */
+	receiveHeartbeat(heartbeat: Heartbeat, link: PeerLink | undefined): Report {
+		const now = this.clock.now();
+		const isDelayed = heartbeat.sequence < (this.#members.get(heartbeat.vm)?.heartbeat.sequence ?? 0)
+			&& heartbeat.incarnation === this.#members.get(heartbeat.vm)?.heartbeat.incarnation;
+		if (!isDelayed) {
+			this.#members.set(heartbeat.vm, {link, heartbeat, heardAt: now});
+		}
+
+		this.#observePositions(heartbeat);
+		return this.createReport(heartbeat.vm, heartbeat.sequence);
+	}
+
+	/** Tells every connected VM what is in force now. */
+	pushReports(): void {
+		for (const [vm, member] of this.#members) {
+			member.link?.send(this.createReport(vm, undefined));
+		}
+	}
+
+	createReport(vm: string, sequence: number | undefined): Report {
+		const positions: Report['positions'] = {};
+		for (const {group} of this.terms.getTerms()) {
+			const newest = this.terms.getNewestPosition(group);
+			if (newest !== undefined) {
+				positions[group] = {position: newest.position, ageMs: newest.ageMs};
+			}
+		}
+
+		return {
+			kind: 'report',
+			sequence,
+			stampMs: this.clock.now(),
+			token: this.duty.token,
+			dutyRevision: this.duty.version,
+			terms: this.terms.getTerms(),
+			shares: this.#createShares(vm),
+			positions,
+			configurationVersion: this.configuration.version,
+			members: this.memberCount,
+		};
+	}
+
+	/** Returns the evidence that other VMs have on a group's primary, on this VM's clock. */
+	getEvidence(group: string): PrimaryEvidence[] {
+		const now = this.clock.now();
+		return [...this.#members].flatMap(([vm, member]) => {
+			const evidence = member.heartbeat.evidence[group];
+			if (vm === this.vm || evidence === undefined || now - member.heardAt > heardMs) {
+				return [];
+			}
+
+			return [{
+				vm,
+				instanceId: evidence.instanceId,
+				answeredAt: evidence.answeredAgoMs === undefined ? undefined : member.heardAt - evidence.answeredAgoMs,
+				failingSince: evidence.failingForMs === undefined ? undefined : member.heardAt - evidence.failingForMs,
+				isRefused: evidence.isRefused,
+			}];
+		});
+	}
+
+	/** Returns how many VMs were heard lately, this one included. */
+	countHeard(): number {
+		const now = this.clock.now();
+		return [...this.#members].filter(([vm, member]) => vm !== this.vm && now - member.heardAt <= heardMs).length + 1;
+	}
+
+	/**
+	 * Says whether no VM can still act by a group's term before a revision.
+	 * @param closedAt - Steady time at which the store had acknowledged the revision.
+	 * @param registered - VMs that the store listed after that.
+	 */
+	isClosed(group: string, revision: number, closedAt: number, registered: ReadonlySet<string>): boolean {
+		const now = this.clock.now();
+		if (now < this.duty.tookOverAt + termLeaseMs + leaseMarginMs) {
+			return false;
+		}
+
+		const others = new Set([...registered, ...this.#members.keys()]);
+		others.delete(this.vm);
+		const isAcknowledged = [...others].every(vm => (this.#members.get(vm)?.heartbeat.revisions[group] ?? 0) >= revision);
+		return isAcknowledged || now >= closedAt + termLeaseMs + leaseMarginMs;
+	}
+
+	#observePositions(heartbeat: Heartbeat): void {
+		if (heartbeat.echo === undefined) {
+			return;
+		}
+
+		// The sender had our stamp for this long when it wrote the heartbeat, which was no earlier than that.
+		const sentAt = heartbeat.echo.stampMs + heartbeat.echo.ageMs;
+		for (const [group, {position, ageMs}] of Object.entries(heartbeat.positions)) {
+			this.terms.observePosition(group, position as LogPosition, Math.min(sentAt, this.clock.now()) - ageMs);
+		}
+	}
+
+	#createShares(vm: string): Record<string, BucketLimit> {
+		const now = this.clock.now();
+		const heard = [...this.#members].filter(([, member]) => now - member.heardAt <= heardMs);
+		const shares: Record<string, BucketLimit> = {};
+		for (const name of Object.keys(this.#members.get(vm)?.heartbeat.demands ?? {})) {
+			const account = this.configuration.getAccount(name);
+			if (account !== undefined) {
+				const demands = new Map(heard.map(([member, {heartbeat}]) => [member, heartbeat.demands[name] ?? 0]));
+				const share = divideLimit({ratePerS: account.ratePerS, burst: account.burst}, demands, this.memberCount).get(vm);
+				if (share !== undefined) {
+					shares[name] = share;
+				}
+			}
+		}
+
+		return shares;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/duty-keeper.ts
@@ -0,0 +1,184 @@
+import {TimedLease, type Moment} from '@chicorysaddle/decisions';
+import {type DecisionLog} from '../observability/index.js';
+import {type Clock, type CoordinationTable, type SharedRowWrite} from '../ports/index.js';
+import {type GatewayIdentity} from './gateway-identity.js';
+import {dutyKey, type DutyRow, parseSharedRows} from './shared-rows.js';
+
+/** Time after its last renewal for which the holder may act, milliseconds: a store that is away for that long stops nothing. */
+const dutyLeaseMs = 5000;
+
+/** Time by which another VM waits longer than the holder acts, milliseconds. */
+const takeOverMarginMs = 500;
+
+/** Interval of renewals, milliseconds. */
+const renewalMs = 1000;
+
+/** Time for a call to the store, milliseconds. */
+const callTimeoutMs = 800;
+
+/** Holds, or takes over, the row that names the coordinator. */
+export class DutyKeeper {
+	readonly #lease = new TimedLease(dutyLeaseMs);
+	#held: DutyRow | undefined;
+	#seen: {readonly version: number; readonly at: number} | undefined;
+	#renewedAt = Number.NEGATIVE_INFINITY;
+	#uncertainSince: Moment | undefined;
+	#queue: Promise<unknown> = Promise.resolve();
+	#tookOverAt = 0;
+
+	constructor(private readonly table: CoordinationTable, private readonly identity: GatewayIdentity, private readonly clock: Clock, private readonly log: DecisionLog) {}
+
+	/** Fencing token, while this VM holds the duty. */
+	get token(): number {
+		return this.#held?.token ?? 0;
+	}
+
+	/** Version of the held row. */
+	get version(): number {
+		return this.#held?.version ?? 0;
+	}
+
+	/** Steady time at which the duty was taken. */
+	get tookOverAt(): number {
+		return this.#tookOverAt;
+	}
+
+	/** Says whether this VM may act as the coordinator now. */
+	isHeld(): boolean {
+		return this.#held !== undefined && this.#lease.isHeld(this.#getMoment());
+	}
+
+	/** Returns for how much longer this VM may act. */
+	getRemainingMs(): number {
+		return this.#held === undefined ? 0 : this.#lease.getRemainingMs(this.#getMoment());
+	}
+
+	/** Takes in the row's version, as read or as the holder reported it. */
+	observeVersion(version: number): void {
+		if (this.#seen === undefined || version > this.#seen.version) {
+			this.#seen = {version, at: this.clock.now()};
+		}
+	}
+
+	/** Says whether the duty may be taken from its holder. */
+	isVacant(duty: DutyRow | undefined): boolean {
+		if (duty === undefined) {
+			return true;
+		}
+
+		this.observeVersion(duty.version);
+		const isPredecessor = duty.holder === this.identity.vm && duty.incarnation !== this.identity.incarnation;
+		return isPredecessor || (this.#seen!.version === duty.version && this.clock.now() - this.#seen!.at > dutyLeaseMs + takeOverMarginMs);
+	}
+
+	/** Tries to become the coordinator. */
+	async takeOver(duty: DutyRow | undefined): Promise<boolean> {
+		const content = {
+			holder: this.identity.vm, incarnation: this.identity.incarnation, address: this.identity.peerAddress, token: (duty?.token ?? 0) + 1,
+		};
+		const at = this.#getMoment();
+		const result = await this.table.writeSharedRows([{key: dutyKey, expectedVersion: duty?.version ?? 0, value: JSON.stringify(content)}], callTimeoutMs);
+		if (result.kind === 'failed' || !result.value.isApplied) {
+			return false;
+		}
+
+		this.#hold({...content, version: result.value.version}, at);
+		this.#tookOverAt = this.clock.now();
+		this.log.logState('coordinator.taken', {token: content.token, version: result.value.version, before: duty?.holder});
+		return true;
+	}
+
+	/** Takes up a duty that a lost answer had left open: the row names this process already. */
+	resume(duty: DutyRow, at: Moment): void {
+		if (this.#held === undefined && duty.holder === this.identity.vm && duty.incarnation === this.identity.incarnation) {
+			this.#hold(duty, at);
+			this.#tookOverAt = this.clock.now();
+			this.log.logState('coordinator.resumed', {token: duty.token, version: duty.version});
+		}
+	}
+
+	/** Renews the row when that is due. */
+	async renew(): Promise<void> {
+		if (this.#held === undefined || this.clock.now() < this.#renewedAt + renewalMs) {
+			return;
+		}
+
+		this.#renewedAt = this.clock.now();
+		await this.#exclusively(async () => this.#write([]));
+	}
+
+	/**
+	 * Writes rows on condition that this VM still holds the duty.
+	 * @returns The version of the written rows, undefined when nothing was written as far as is known.
+	 */
+	async writeRows(writes: readonly SharedRowWrite[]): Promise<number | undefined> {
+		return this.#exclusively(async () => this.#write(writes));
+	}
+
+	/** Ends the duty: another VM holds it. */
+	end(reason: string): void {
+		if (this.#held !== undefined) {
+			this.log.logState('coordinator.lost', {token: this.#held.token, reason});
+			this.#held = undefined;
+			this.#lease.end();
+		}
+	}
+
+	async #write(writes: readonly SharedRowWrite[]): Promise<number | undefined> {
+		const held = this.#held;
+		if (held === undefined) {
+			return undefined;
+		}
+
+		const {version, ...content} = held;
+		const at = this.#getMoment();
+		const result = await this.table.writeSharedRows([{key: dutyKey, expectedVersion: version, value: JSON.stringify(content)}, ...writes], callTimeoutMs);
+		if (result.kind === 'ok' && result.value.isApplied) {
+			this.#hold({...held, version: result.value.version}, at);
+			return result.value.version;
+		}
+
+		this.#uncertainSince ??= at;
+		const settled = await this.#settle(held);
+		const isWritten = settled !== undefined && writes.length > 0 && writes.every(write => settled.rows.get(write.key) === write.value);
+		return isWritten ? settled.version : undefined;
+	}
+
+	/** Reads back what became of a write without a usable answer. */
+	async #settle(held: DutyRow): Promise<{readonly version: number; readonly rows: ReadonlyMap<string, string>} | undefined> {
+		const result = await this.table.readSharedRows(callTimeoutMs);
+		if (result.kind === 'failed') {
+			return undefined;
+		}
+
+		const {duty} = parseSharedRows(result.value, this.log);
+		if (duty?.incarnation !== this.identity.incarnation || duty.token !== held.token) {
+			this.end('another VM holds it');
+			return undefined;
+		}
+
+		if (duty.version !== held.version) {
+			this.#hold(duty, this.#uncertainSince!);
+		}
+
+		return {version: duty.version, rows: new Map(result.value.map(row => [row.key, row.value]))};
+	}
+
+	#hold(duty: DutyRow, at: Moment): void {
+		this.#held = duty;
+		this.#uncertainSince = undefined;
+		this.#lease.confirm(at);
+		this.#renewedAt = this.clock.now();
+		this.observeVersion(duty.version);
+	}
+
+	async #exclusively<T>(work: () => Promise<T>): Promise<T> {
+		const result = this.#queue.then(work);
+		this.#queue = result.then(() => undefined, () => undefined);
+		return result;
+	}
+
+	#getMoment(): Moment {
+		return {steady: this.clock.now(), wall: this.clock.getWallTime()};
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/gateway-identity.ts
@@ -0,0 +1,11 @@
+/** Who this VM is among the others. */
+export type GatewayIdentity = {
+	readonly vm: string;
+	readonly zone: string;
+	/** Differs between two processes of one VM. */
+	readonly incarnation: string;
+	/** Host and port on which other VMs reach it. */
+	readonly peerAddress: string;
+	/** Peer addresses of VMs that may know the configuration while the store does not answer. */
+	readonly seeds: readonly string[];
+};
--- /dev/null
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -0,0 +1,289 @@
+import {isPrimaryDead} from '@chicorysaddle/decisions';
+import {comparePositions} from '@chicorysaddle/model';
+import {type ConfigurationView} from '../configuration/index.js';
+import {type Dispatcher} from '../dispatch/index.js';
+import {type Instance, type InstanceRegistry} from '../instances/index.js';
+import {type DecisionLog, type GatewayMetrics} from '../observability/index.js';
+import {
+	type Clock, type CoordinationTable, type InstanceConnector, type PromotionService,
+} from '../ports/index.js';
+import {type InstanceStatus} from '../statements/index.js';
+import {type GroupTerm, type TermRegistry} from '../terms/index.js';
+import {type Coordinator} from './coordinator.js';
+import {type DutyKeeper} from './duty-keeper.js';
+import {getTermKey, parseSharedRows, type TermContent} from './shared-rows.js';
+
+/** Why a group gets another primary. */
+type PromotionReason = 'crashed' | 'gone' | 'draining' | 'resumed';
+
+type InstanceReading = {readonly instance: Instance; readonly status: InstanceStatus};
+
+/** Time for the status of an instance, milliseconds. */
+const statusTimeoutMs = 400;
+
+/** Time for which a planned change of primary waits for its successor to catch up, milliseconds. */
+const catchUpMs = 1500;
+
+/** Interval of questions while something is waited for, milliseconds. */
+const pollMs = 30;
+
+/** Time for a call to the platform, milliseconds. */
+const promoteTimeoutMs = 2500;
+
+/** Time for a promoted instance to lead, milliseconds: several times what deployments state. */
+const takeEffectMs = 4000;
+
+/** Pause before a procedure that failed is begun again, milliseconds. */
+const retryPauseMs = 200;
+
+/** Least time for which the duty has to last when a promotion is ordered, milliseconds. */
+const dutyReserveMs = 500;
+
+/** Account name of connections that the gateway uses for itself. */
+const controlAccount = 'chicorysaddle';
+
+/** Gives each group a primary: one at a time, after no VM uses the former one any more. */
+export class Promoter {
+	readonly #running = new Set<string>();
+
+	constructor(
+		private readonly vm: string,
+		private readonly duty: DutyKeeper,
+		private readonly coordinator: Coordinator,
+		private readonly terms: TermRegistry,
+		private readonly instances: InstanceRegistry,
+		private readonly configuration: ConfigurationView,
+		private readonly dispatcher: Dispatcher,
+		private readonly table: CoordinationTable,
+		private readonly connector: InstanceConnector,
+		private readonly service: PromotionService,
+		private readonly clock: Clock,
+		private readonly log: DecisionLog,
+		private readonly metrics: GatewayMetrics,
+	) {}
+
+	/** Looks at every group, and begins what is due. */
+	sweep(): void {
+		if (!this.duty.isHeld() || this.instances.appliedAt === undefined) {
+			return;
+		}
+
+		for (const {name} of this.configuration.getGroups()) {
+			if (!this.#running.has(name)) {
+				void this.#judgeGroup(name);
+			}
+		}
+	}
+
+	async #judgeGroup(group: string): Promise<void> {
+		this.#running.add(group);
+		try {
+			const term = this.terms.getTerm(group);
+			if (term === undefined) {
+				await this.#recordFirstPrimary(group);
+				return;
+			}
+
+			const reason = this.#findReason(term);
+			if (reason !== undefined && (reason !== 'crashed' || !await this.#answers(term))) {
+				await this.#replacePrimary(term, reason);
+			}
+		} catch (error) {
+			this.log.logState('promotion.error', {group, error: error instanceof Error ? error.stack : String(error)});
+		} finally {
+			this.#running.delete(group);
+		}
+	}
+
+	#findReason(term: GroupTerm): PromotionReason | undefined {
+		if (term.phase === 'closing') {
+			return 'resumed';
+		}
+
+		const instance = this.instances.getInstance(term.primaryId);
+		if (instance === undefined) {
+			return 'gone';
+		}
+
+		if (instance.state === 'draining') {
+			return 'draining';
+		}
+
+		const own = this.dispatcher.getTracker(term.primaryId)?.createEvidence(this.vm);
+		const evidence = [...(own === undefined ? [] : [own]), ...this.coordinator.getEvidence(term.group)];
+		return isPrimaryDead(term.primaryId, evidence, this.coordinator.countHeard(), this.clock.now()) ? 'crashed' : undefined;
+	}
+
+	async #answers(term: GroupTerm): Promise<boolean> {
+		const instance = this.instances.getInstance(term.primaryId);
+		const reading = instance === undefined ? undefined : await this.#readStatus(instance);
+		return reading?.status.role === 'primary';
+	}
+
+	async #recordFirstPrimary(group: string): Promise<void> {
+		const readings = await this.#readAll(this.instances.getGroupInstances(group));
+		const leader = findLeader(readings);
+		if (leader === undefined) {
+			await pause(retryPauseMs);
+			return;
+		}
+
+		await this.#writeTerm(group, 0, {term: leader.status.term, primaryId: leader.instance.id, phase: 'open'});
+	}
+
+	async #replacePrimary(term: GroupTerm, reason: PromotionReason): Promise<void> {
+		this.log.logState('promotion.begun', {group: term.group, term: term.term, primary: term.primaryId, reason, token: this.duty.token});
+		const startedAt = this.clock.now();
+		const closed = reason === 'resumed' ? term : await this.#writeTerm(term.group, term.revision, {term: term.term, primaryId: term.primaryId, phase: 'closing'});
+		if (closed === undefined || !await this.#waitUntilClosed(closed)) {
+			await pause(retryPauseMs);
+			return;
+		}
+
+		const closedMs = this.clock.now() - startedAt;
+		const leader = await this.#findSuccessor(closed, reason);
+		if (leader === undefined) {
+			await pause(retryPauseMs);
+			return;
+		}
+
+		const opened = await this.#writeTerm(closed.group, closed.revision, {term: leader.status.term, primaryId: leader.instance.id, phase: 'open'});
+		this.log.logState('promotion.ended', {
+			group: term.group, term: leader.status.term, primary: leader.instance.id, closedMs: Math.round(closedMs), durationMs: Math.round(this.clock.now() - startedAt), recorded: opened !== undefined,
+		});
+		this.metrics.addCount('promotions');
+	}
+
+	async #waitUntilClosed(closed: GroupTerm): Promise<boolean> {
+		const closedAt = this.clock.now();
+		const result = await this.table.readSharedRows(statusTimeoutMs);
+		const registered = result.kind === 'ok' ? new Set(parseSharedRows(result.value, this.log).members.keys()) : undefined;
+		while (!this.coordinator.isClosed(closed.group, closed.revision, closedAt, registered ?? new Set(['an unknown VM']))) {
+			if (!this.duty.isHeld()) {
+				return false;
+			}
+
+			await pause(pollMs);
+		}
+
+		return true;
+	}
+
+	/** Promotes the most advanced instance, or finds the one that leads already. */
+	async #findSuccessor(closed: GroupTerm, reason: PromotionReason): Promise<InstanceReading | undefined> {
+		const all = this.instances.getGroupInstances(closed.group);
+		const readings = await this.#readAll(all);
+		const leader = findLeader(readings.filter(reading => reading.status.term > closed.term));
+		if (leader !== undefined) {
+			return leader;
+		}
+
+		const former = readings.find(reading => reading.instance.id === closed.primaryId && reading.status.role === 'primary');
+		if (former !== undefined && former.instance.state === 'ready' && reason === 'resumed') {
+			// The procedure was broken off before anything was promoted, and the former primary is well.
+			return former;
+		}
+
+		const candidates = readings
+			.filter(reading => reading.instance.id !== closed.primaryId && reading.instance.state === 'ready')
+			.toSorted((a, b) => comparePositions(b.status.position, a.status.position));
+		for (const candidate of candidates) {
+			if (former !== undefined) {
+				await this.#waitForCatchUp(candidate, former);
+			}
+
+			const promoted = await this.#promote(closed, candidate.instance);
+			if (promoted !== undefined) {
+				return promoted;
+			}
+		}
+
+		return undefined;
+	}
+
+	async #waitForCatchUp(candidate: InstanceReading, former: InstanceReading): Promise<void> {
+		const deadline = this.clock.now() + catchUpMs;
+		let reading: InstanceReading | undefined = candidate;
+		while (reading !== undefined && comparePositions(reading.status.position, former.status.position) < 0 && this.clock.now() < deadline) {
+			await pause(pollMs);
+			reading = await this.#readStatus(candidate.instance);
+		}
+	}
+
+	async #promote(closed: GroupTerm, instance: Instance): Promise<InstanceReading | undefined> {
+		const deadline = this.clock.now() + takeEffectMs;
+		while (this.clock.now() < deadline) {
+			if (this.duty.getRemainingMs() < dutyReserveMs) {
+				return undefined;
+			}
+
+			const result = await this.service.promote({
+				group: closed.group, instanceId: instance.id, holder: this.vm, fencingToken: this.duty.token,
+			}, promoteTimeoutMs);
+			this.log.logState('promotion.ordered', {group: closed.group, instance: instance.id, token: this.duty.token, result});
+			if (result === 'rejected') {
+				return undefined;
+			}
+
+			if (result === 'accepted') {
+				return this.#waitUntilLeading(closed, instance, deadline);
+			}
+
+			await pause(pollMs);
+		}
+
+		return undefined;
+	}
+
+	async #waitUntilLeading(closed: GroupTerm, instance: Instance, deadline: number): Promise<InstanceReading | undefined> {
+		while (this.clock.now() < deadline) {
+			const reading = await this.#readStatus(instance);
+			if (reading?.status.role === 'primary' && reading.status.term > closed.term) {
+				return reading;
+			}
+
+			await pause(pollMs);
+		}
+
+		return undefined;
+	}
+
+	async #writeTerm(group: string, revision: number, content: TermContent): Promise<GroupTerm | undefined> {
+		const version = await this.duty.writeRows([{key: getTermKey(group), expectedVersion: revision, value: JSON.stringify(content)}]);
+		if (version === undefined) {
+			return undefined;
+		}
+
+		const term = {group, ...content, revision: version};
+		this.terms.applyTerm(term);
+		this.coordinator.pushReports();
+		return term;
+	}
+
+	async #readAll(instances: readonly Instance[]): Promise<InstanceReading[]> {
+		const readings = await Promise.all(instances.map(async instance => this.#readStatus(instance)));
+		return readings.filter(reading => reading !== undefined);
+	}
+
+	async #readStatus(instance: Instance): Promise<InstanceReading | undefined> {
+		const result = await this.connector.open(instance, controlAccount, statusTimeoutMs);
+		if (result.kind === 'failed') {
+			return undefined;
+		}
+
+		const [outcome] = await result.connection.run([{statement: {kind: 'control-status'}}], statusTimeoutMs);
+		const status = outcome === undefined ? undefined : result.connection.parseStatus(outcome);
+		result.connection.close();
+		return status === undefined ? undefined : {instance, status};
+	}
+}
+
+function findLeader(readings: readonly InstanceReading[]): InstanceReading | undefined {
+	return readings.filter(reading => reading.status.role === 'primary').toSorted((a, b) => b.status.term - a.status.term)[0];
+}
+
+async function pause(ms: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -0,0 +1,257 @@
+import {FairQueue, type Priority, type QueueEntry} from '@chicorysaddle/decisions';
+import {refusals} from '@chicorysaddle/model';
+import {type ConfigurationView} from '../configuration/index.js';
+import {type Instance, type InstanceRegistry} from '../instances/index.js';
+import {type GatewayMetrics} from '../observability/index.js';
+import {type Clock, type InstanceConnector} from '../ports/index.js';
+import {type TermRegistry} from '../terms/index.js';
+import {InstancePool, type PoolChoice} from './instance-pool.js';
+import {type InstanceTracker} from './instance-tracker.js';
+import {PooledConnection} from './pooled-connection.js';
+import {type Place, type PlaceRequest, type PlaceResult} from './place-request.js';
+
+type Waiter = {
+	readonly request: PlaceRequest;
+	readonly excluded: Set<string>;
+	readonly queuedAt: number;
+	readonly settle: (result: PlaceResult) => void;
+};
+
+type Candidate = {readonly pool: InstancePool; readonly choice: PoolChoice; readonly isPrimary: boolean};
+
+/** Interval at which waiting requests are looked through for passed deadlines, milliseconds. */
+const sweepMs = 20;
+
+/** Cost of a new connection beside a warm one, milliseconds: the handshake that a deployment states. */
+const openCostMs = 14;
+
+/** Factor on the estimate of a primary, which alone can take writes. */
+const primaryReadFactor = 1.5;
+
+/** Idle time after which a connection is given up, milliseconds. */
+const idleConnectionMs = 20_000;
+
+/** Time that is told to a caller for whom there was no place, milliseconds. */
+const retryAfterMs = 200;
+
+const highestPriorities: readonly Priority[] = ['high', 'high', 'normal'];
+
+/** Finds a connection for each statement and transaction, in the order of priority and fairness. */
+export class Dispatcher {
+	readonly #pools = new Map<string, InstancePool>();
+	readonly #queues = new Map<string, FairQueue<Waiter>>();
+	#members = 1;
+	#sweepTimer: NodeJS.Timeout | undefined;
+
+	constructor(
+		private readonly configuration: ConfigurationView,
+		private readonly instances: InstanceRegistry,
+		private readonly terms: TermRegistry,
+		private readonly connector: InstanceConnector,
+		private readonly clock: Clock,
+		private readonly metrics: GatewayMetrics,
+	) {
+		instances.onChanged((before, after) => {
+			this.#observeInstance(before, after);
+		});
+		terms.onChanged(term => {
+			this.#pump(term.group);
+		});
+		terms.onRegained(() => {
+			this.#pumpAll();
+		});
+	}
+
+	/** Sets how many VMs share the connections of an instance. */
+	setMembers(members: number): void {
+		this.#members = Math.max(1, members);
+		for (const pool of this.#pools.values()) {
+			pool.trim(this.#getLimit(pool.instance), idleConnectionMs);
+		}
+	}
+
+	getTracker(instanceId: string): InstanceTracker | undefined {
+		return this.#pools.get(instanceId)?.tracker;
+	}
+
+	countWaiting(): number {
+		let count = 0;
+		for (const queue of this.#queues.values()) {
+			count += queue.size;
+		}
+
+		return count;
+	}
+
+	/** Waits for a connection. */
+	async acquire(request: PlaceRequest): Promise<PlaceResult> {
+		return new Promise(resolve => {
+			const queuedAt = this.clock.now();
+			const waiter: Waiter = {
+				request, excluded: new Set(request.excluded), queuedAt, settle: result => {
+					this.metrics.recordDuration('place', this.clock.now() - queuedAt);
+					resolve(result);
+				},
+			};
+			this.#enqueue(waiter);
+			this.#pump(request.group);
+		});
+	}
+
+	/**
+	 * Gives a connection back.
+	 * @param isClean - Whether it is outside a transaction and nothing is under way on it.
+	 */
+	release(place: Place, isClean: boolean): void {
+		place.pool.release(place.connection, isClean);
+	}
+
+	#enqueue(waiter: Waiter): void {
+		const {request} = waiter;
+		let queue = this.#queues.get(request.group);
+		if (queue === undefined) {
+			queue = new FairQueue<Waiter>();
+			this.#queues.set(request.group, queue);
+		}
+
+		queue.addEntry({
+			account: request.account, priority: highestPriorities[request.priority] ?? 'low', weight: 1, deadline: request.deadline, value: waiter,
+		});
+		this.#sweepTimer ??= setTimeout(() => {
+			this.#sweep();
+		}, sweepMs);
+	}
+
+	#pumpAll(): void {
+		for (const group of this.#queues.keys()) {
+			this.#pump(group);
+		}
+	}
+
+	#pump(group: string): void {
+		const queue = this.#queues.get(group);
+		while (queue !== undefined && queue.size > 0) {
+			let candidate: Candidate | undefined;
+			const entry = queue.removeNext((waiting: QueueEntry<Waiter>) => {
+				candidate = this.#chooseCandidate(waiting.value);
+				return candidate !== undefined;
+			});
+			if (entry === undefined || candidate === undefined) {
+				return;
+			}
+
+			this.#place(entry.value, candidate);
+		}
+	}
+
+	#place(waiter: Waiter, candidate: Candidate): void {
+		const {pool, choice, isPrimary} = candidate;
+		if (choice.kind === 'idle') {
+			pool.take(choice.connection);
+			waiter.settle({kind: 'placed', place: {pool, connection: choice.connection, isPrimary}});
+			return;
+		}
+
+		void this.#open(waiter, candidate, choice.evicted);
+	}
+
+	async #open(waiter: Waiter, {pool, isPrimary}: Candidate, evicted: PooledConnection | undefined): Promise<void> {
+		const opened = await pool.open(waiter.request.account, evicted);
+		if (opened instanceof PooledConnection) {
+			if (this.clock.now() <= waiter.request.deadline) {
+				waiter.settle({kind: 'placed', place: {pool, connection: opened, isPrimary}});
+				return;
+			}
+
+			pool.release(opened, true);
+		} else if (!isPrimary && opened.reason !== 'connection-limit' && opened.reason !== 'busy') {
+			waiter.excluded.add(pool.instance.id);
+		}
+
+		this.#enqueue(waiter);
+		this.#pump(waiter.request.group);
+	}
+
+	#chooseCandidate({request, excluded}: Waiter): Candidate | undefined {
+		const now = this.clock.now();
+		const primaryId = this.terms.getUsablePrimary(request.group);
+		if (request.target === 'primary') {
+			const pool = primaryId === undefined ? undefined : this.#pools.get(primaryId);
+			const choice = pool?.tracker.isUsable(now) === true ? pool.findChoice(request.account, this.#getLimit(pool.instance)) : undefined;
+			return pool === undefined || choice === undefined ? undefined : {pool, choice, isPrimary: true};
+		}
+
+		let best: Candidate | undefined;
+		let bestMs = Number.POSITIVE_INFINITY;
+		for (const instance of this.instances.getGroupInstances(request.group)) {
+			const pool = this.#pools.get(instance.id);
+			const isPrimary = instance.id === primaryId;
+			if (pool === undefined || excluded.has(instance.id) || !this.#isReadable(instance, pool, request, now)) {
+				continue;
+			}
+
+			const choice = pool.findChoice(request.account, this.#getLimit(instance));
+			if (choice !== undefined) {
+				const costMs = (pool.tracker.estimateMs(pool.busyCount, now) * (isPrimary ? primaryReadFactor : 1)) + (choice.kind === 'open' ? openCostMs : 0);
+				if (costMs < bestMs) {
+					bestMs = costMs;
+					best = {pool, choice, isPrimary};
+				}
+			}
+		}
+
+		return best;
+	}
+
+	#isReadable(instance: Instance, pool: InstancePool, request: PlaceRequest, now: number): boolean {
+		if (instance.state === 'draining' || !pool.tracker.isUsable(now)) {
+			return false;
+		}
+
+		return this.terms.isUsablePrimary(request.group, instance.id) || (request.since !== undefined && pool.tracker.isLikelyToHold(request.since, now));
+	}
+
+	#sweep(): void {
+		this.#sweepTimer = undefined;
+		const now = this.clock.now();
+		for (const [group, queue] of this.#queues) {
+			for (const {value: waiter} of queue.removeExpired(now)) {
+				this.metrics.addCount('place_expired');
+				const {request} = waiter;
+				const isPrimaryMissing = request.target === 'primary' && this.terms.getUsablePrimary(group) === undefined;
+				waiter.settle({kind: 'refused', refusal: isPrimaryMissing ? refusals.noPrimary(group) : refusals.overloaded(group, retryAfterMs)});
+			}
+
+			this.#pump(group);
+		}
+
+		if (this.countWaiting() > 0) {
+			this.#sweepTimer ??= setTimeout(() => {
+				this.#sweep();
+			}, sweepMs);
+		}
+	}
+
+	#getLimit(instance: Instance): number {
+		const total = this.configuration.getGroup(instance.group)?.maxConnections ?? 1;
+		return Math.max(1, Math.floor(total / this.#members));
+	}
+
+	#observeInstance(before: Instance | undefined, after: Instance | undefined): void {
+		const isReplaced = before !== undefined && (before.bornMs !== after?.bornMs || before.address !== after?.address);
+		if (isReplaced) {
+			this.#pools.get(before.id)?.close();
+			this.#pools.delete(before.id);
+		}
+
+		if (after !== undefined && !this.#pools.has(after.id)) {
+			this.#pools.set(after.id, new InstancePool(after, this.connector, this.clock, this.metrics, () => {
+				this.#pump(after.group);
+			}));
+		}
+
+		if (after !== undefined) {
+			this.#pump(after.group);
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/instance-tracker.ts
@@ -0,0 +1,129 @@
+import {type PrimaryEvidence} from '@chicorysaddle/decisions';
+import {isAtLeast, type LogPosition} from '@chicorysaddle/model';
+import {type Instance} from '../instances/index.js';
+import {type InstanceErrorKind, type StatementOutcome} from '../statements/index.js';
+
+/** Service time that is assumed of an instance before one was measured, milliseconds. */
+const initialLatencyMs = 10;
+
+/** Weight of the newest measurement in the averages. */
+const averageWeight = 0.1;
+
+/** Time of no use in which half of what was learnt of an instance's speed is forgotten, milliseconds. */
+const forgetHalfMs = 2000;
+
+/** Time for which a replica that lacked a position is not asked for it again, milliseconds. */
+const laggingHoldMs = 150;
+
+/** Time between two attempts at an instance that cannot be reached, milliseconds. */
+const failureHoldMs = 150;
+
+/** Time for which an instance is left alone after an error, milliseconds: about a service time, or the spread of a new term. */
+const errorHoldMs: Partial<Readonly<Record<InstanceErrorKind, number>>> = {busy: 15, 'not-primary': 50};
+
+/** What this VM has learnt of one instance. */
+export class InstanceTracker {
+	#latencyMs = initialLatencyMs;
+	#usedAt = Number.NEGATIVE_INFINITY;
+	#position: LogPosition | undefined;
+	#lagging: {readonly position: LogPosition; readonly until: number} | undefined;
+	#laggingShare = 0;
+	#answeredAt: number | undefined;
+	#failingSince: number | undefined;
+	#failedAt = Number.NEGATIVE_INFINITY;
+	#isRefused = false;
+	#heldUntil = 0;
+
+	constructor(readonly instance: Instance) {}
+
+	get failingSince(): number | undefined {
+		return this.#failingSince;
+	}
+
+	get answeredAt(): number | undefined {
+		return this.#answeredAt;
+	}
+
+	/** Takes in any answer. */
+	observeAnswer(now: number): void {
+		this.#answeredAt = now;
+		this.#failingSince = undefined;
+		this.#isRefused = false;
+	}
+
+	/** Takes in a statement's outcome and the time that it took. */
+	observeOutcome(outcome: StatementOutcome, sentAt: number, now: number): void {
+		if (outcome.kind === 'broken') {
+			this.observeFailure(outcome.reason === 'closed' ? 'refused' : 'silent', sentAt, now);
+			return;
+		}
+
+		this.observeAnswer(now);
+		this.#position = outcome.position ?? this.#position;
+		if (outcome.kind === 'completed') {
+			this.#latencyMs += averageWeight * (now - sentAt - this.#latencyMs);
+			this.#usedAt = now;
+			this.#laggingShare *= 1 - averageWeight;
+		} else {
+			this.#heldUntil = Math.max(this.#heldUntil, now + (errorHoldMs[outcome.error] ?? 0));
+		}
+	}
+
+	/** Takes in that the instance lacked a position. */
+	observeLagging(position: LogPosition, now: number): void {
+		this.#lagging = {position, until: now + laggingHoldMs};
+		this.#laggingShare += averageWeight * (1 - this.#laggingShare);
+	}
+
+	/**
+	 * Takes in that the instance could not be reached or did not answer.
+	 * @param since - Time at which it was asked.
+	 */
+	observeFailure(kind: 'refused' | 'silent', since: number, now: number): void {
+		// Whatever was answered after the question was asked speaks against silence.
+		if (kind === 'silent' && this.#answeredAt !== undefined && this.#answeredAt > since) {
+			return;
+		}
+
+		this.#failingSince ??= kind === 'silent' ? since : now;
+		this.#isRefused = kind === 'refused';
+		this.#failedAt = now;
+	}
+
+	/** Holds new connections off for a while. */
+	hold(until: number): void {
+		this.#heldUntil = Math.max(this.#heldUntil, until);
+	}
+
+	/** Says whether the instance may be tried now. */
+	isUsable(now: number): boolean {
+		return now >= this.#heldUntil && (this.#failingSince === undefined || now >= this.#failedAt + failureHoldMs);
+	}
+
+	/** Says whether the instance is likely to hold a position. */
+	isLikelyToHold(since: LogPosition | undefined, now: number): boolean {
+		if (since === undefined || (this.#position !== undefined && isAtLeast(this.#position, since))) {
+			return true;
+		}
+
+		return this.#lagging === undefined || now >= this.#lagging.until || !isAtLeast(since, this.#lagging.position);
+	}
+
+	/**
+	 * Estimates how long a statement takes here.
+	 * @param inFlight - Statements of this VM at the instance.
+	 * @param now - Steady time in milliseconds.
+	 */
+	estimateMs(inFlight: number, now: number): number {
+		const idleMs = Math.max(0, now - this.#usedAt);
+		const kept = Number.isFinite(idleMs) ? 0.5 ** (idleMs / forgetHalfMs) : 0;
+		const latency = initialLatencyMs + ((this.#latencyMs - initialLatencyMs) * kept);
+		return (latency * (1 + (inFlight / Math.max(1, this.instance.slots)))) + (this.#laggingShare * 2 * latency);
+	}
+
+	createEvidence(vm: string): PrimaryEvidence {
+		return {
+			vm, instanceId: this.instance.id, answeredAt: this.#answeredAt, failingSince: this.#failingSince, isRefused: this.#isRefused,
+		};
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/instances/instance-keeper.ts
@@ -0,0 +1,79 @@
+import {type DecisionLog} from '../observability/index.js';
+import {type Clock, type CoordinationTable} from '../ports/index.js';
+import {type Instance} from './instance.js';
+import {type InstanceRegistry} from './instance-registry.js';
+
+/** Interval at which the list is read, milliseconds: well inside the time in which a draining instance may still be used. */
+const readIntervalMs = 1500;
+
+/** Pause after a call that failed, milliseconds. */
+const failurePauseMs = 300;
+
+/** Time for a call, milliseconds. */
+const callTimeoutMs = 1000;
+
+/** Time after an outage of the store for which an instance may be missing because its entry lapsed meanwhile, milliseconds. */
+const lapseGraceMs = 2500;
+
+/** Keeps the list of instances up to date. */
+export class InstanceKeeper {
+	#isStopped = false;
+	#outageEndedAt = Number.NEGATIVE_INFINITY;
+	#isAway = false;
+	#wake: (() => void) | undefined;
+
+	constructor(private readonly table: CoordinationTable, private readonly registry: InstanceRegistry, private readonly clock: Clock, private readonly log: DecisionLog) {}
+
+	/** Reads the list until it is stopped. */
+	async run(): Promise<void> {
+		while (!this.#isStopped) {
+			const isRead = await this.#read();
+			await new Promise<void>(resolve => {
+				const timer = setTimeout(resolve, isRead ? readIntervalMs : failurePauseMs);
+				this.#wake = () => {
+					clearTimeout(timer);
+					resolve();
+				};
+			});
+		}
+	}
+
+	/** Reads the list soon. */
+	refresh(): void {
+		this.#wake?.();
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+		this.#wake?.();
+	}
+
+	async #read(): Promise<boolean> {
+		const result = await this.table.readInstances(callTimeoutMs);
+		const now = this.clock.now();
+		if (result.kind === 'failed') {
+			this.#observeStore(false, `${result.failure.reason}: ${result.failure.message}`);
+			return false;
+		}
+
+		if (this.#isAway) {
+			this.#outageEndedAt = now;
+		}
+
+		this.#observeStore(true, '');
+		this.registry.applyList(now < this.#outageEndedAt + lapseGraceMs ? this.#addLapsed(result.value) : result.value, now);
+		return true;
+	}
+
+	#addLapsed(instances: readonly Instance[]): Instance[] {
+		const ids = new Set(instances.map(instance => instance.id));
+		return [...instances, ...[...this.registry.getAll()].filter(instance => !ids.has(instance.id))];
+	}
+
+	#observeStore(isThere: boolean, why: string): void {
+		if (this.#isAway === isThere) {
+			this.#isAway = !isThere;
+			this.log.logState(isThere ? 'store.regained' : 'store.lost', {call: 'instances', why});
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/instances/instance-registry.ts
@@ -0,0 +1,67 @@
+import {type DecisionLog} from '../observability/index.js';
+import {type Instance, isSameInstance} from './instance.js';
+
+/** Called with an instance that was added, changed (`before` and `after`) or removed. */
+export type InstanceListener = (before: Instance | undefined, after: Instance | undefined) => void;
+
+/** Knows which instances there are. */
+export class InstanceRegistry {
+	#instances = new Map<string, Instance>();
+	readonly #listeners: InstanceListener[] = [];
+	#appliedAt: number | undefined;
+
+	constructor(private readonly log: DecisionLog) {}
+
+	/** Time of the last list, undefined before the first. */
+	get appliedAt(): number | undefined {
+		return this.#appliedAt;
+	}
+
+	getInstance(id: string): Instance | undefined {
+		return this.#instances.get(id);
+	}
+
+	getGroupInstances(group: string): Instance[] {
+		return [...this.#instances.values()].filter(instance => instance.group === group);
+	}
+
+	getAll(): Iterable<Instance> {
+		return this.#instances.values();
+	}
+
+	onChanged(listener: InstanceListener): void {
+		this.#listeners.push(listener);
+	}
+
+	/**
+	 * Takes in the whole list; an instance that is missing from it is gone.
+	 * @param now - Steady time in milliseconds.
+	 */
+	applyList(instances: readonly Instance[], now: number): void {
+		const before = this.#instances;
+		this.#instances = new Map(instances.map(instance => [instance.id, instance]));
+		this.#appliedAt = now;
+		for (const instance of instances) {
+			const known = before.get(instance.id);
+			if (known === undefined || !isSameInstance(known, instance)) {
+				this.#report(known, instance);
+			}
+		}
+
+		for (const known of before.values()) {
+			if (!this.#instances.has(known.id)) {
+				this.#report(known, undefined);
+			}
+		}
+	}
+
+	#report(before: Instance | undefined, after: Instance | undefined): void {
+		const instance = (after ?? before)!;
+		this.log.logState('instance.changed', {
+			instance: instance.id, group: instance.group, address: instance.address, state: after?.state ?? 'gone', role: instance.reportedRole, bornMs: instance.bornMs,
+		});
+		for (const listener of this.#listeners) {
+			listener(before, after);
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -0,0 +1,120 @@
+import {refusals, type Refusal} from '@chicorysaddle/model';
+import {type ConfigurationKeeper} from '../configuration/index.js';
+import {type ClusterMember} from '../coordination/index.js';
+import {type InstanceKeeper, type InstanceRegistry} from '../instances/index.js';
+import {type CallerConnection} from '../ports/index.js';
+import {CallerSession, type SessionIdentity, type SessionServices} from '../sessions/index.js';
+
+/** How a gateway shuts down. */
+export type ShutdownTiming = {
+	/** Time from the signal to the forced end, milliseconds. */
+	readonly graceMs: number;
+	/** Time after which new connections go elsewhere, milliseconds. */
+	readonly rotationMs: number;
+};
+
+/** Time that is told to callers who are refused during shutdown, milliseconds: other VMs take them at once. */
+const retryAfterMs = 50;
+
+/** Interval at which a shutdown looks whether it is done, milliseconds. */
+const drainPollMs = 25;
+
+/** Time that is kept back at the end of the grace time, milliseconds. */
+const exitReserveMs = 500;
+
+/** All sessions of this VM, from start to shutdown. */
+export class Gateway {
+	readonly #sessions = new Set<CallerSession>();
+	#isDraining = false;
+
+	constructor(
+		private readonly services: SessionServices,
+		private readonly instances: InstanceRegistry,
+		private readonly configurationKeeper: ConfigurationKeeper,
+		private readonly instanceKeeper: InstanceKeeper,
+		private readonly member: ClusterMember,
+	) {
+		services.metrics.addGauge('sessions', () => this.#sessions.size);
+		services.metrics.addGauge('configuration_version', () => services.configuration.version);
+		services.metrics.addGauge('waiting', () => services.dispatcher.countWaiting());
+		services.metrics.addGauge('term_lease_ms', () => services.terms.getLeaseRemainingMs());
+		configurationKeeper.onApplied(() => {
+			this.#closeRevoked();
+		});
+	}
+
+	/** Whether new sessions are welcome here. */
+	get isReady(): boolean {
+		return !this.#isDraining && this.services.configuration.version > 0 && this.instances.appliedAt !== undefined;
+	}
+
+	/** Starts the work that goes on in the background. */
+	async start(): Promise<void> {
+		void this.configurationKeeper.run();
+		void this.instanceKeeper.run();
+		await this.member.start();
+	}
+
+	/** Opens a session for a caller, or rejects it. */
+	openSession(identity: SessionIdentity, caller: CallerConnection): CallerSession | undefined {
+		const refusal = this.services.configuration.version === 0 ? refusals.overloaded(identity.database, retryAfterMs) : undefined;
+		const session: CallerSession = new CallerSession(this.services, identity, caller, () => {
+			this.#sessions.delete(session);
+		});
+		const rejection: Refusal | undefined = refusal ?? session.open();
+		if (rejection !== undefined) {
+			this.services.metrics.addCount(`rejected_${rejection.kind}`);
+			this.services.log.logRefusal('session.rejected', {connection: identity.connectionId, database: identity.database, kind: rejection.kind, configuration: this.services.configuration.version});
+			caller.rejectSession(rejection);
+			return undefined;
+		}
+
+		this.#sessions.add(session);
+		return session;
+	}
+
+	/** Shuts down: what runs is finished, transactions get half the time, idle sessions are closed. */
+	async drain(timing: ShutdownTiming): Promise<void> {
+		const startedAt = this.services.clock.now();
+		this.#isDraining = true;
+		this.services.log.logState('shutdown.begun', {sessions: this.#sessions.size, graceMs: timing.graceMs});
+		const elapsed = () => this.services.clock.now() - startedAt;
+		while (elapsed() < timing.rotationMs) {
+			await pause(drainPollMs);
+		}
+
+		for (const session of this.#sessions) {
+			session.closeWhenIdle();
+		}
+
+		while (this.#sessions.size > 0 && elapsed() < timing.graceMs / 2) {
+			await pause(drainPollMs);
+		}
+
+		for (const session of this.#sessions) {
+			session.refuseFurther(refusals.shuttingDown(retryAfterMs));
+		}
+
+		while (this.#sessions.size > 0 && elapsed() < timing.graceMs - exitReserveMs) {
+			await pause(drainPollMs);
+		}
+
+		this.configurationKeeper.stop();
+		this.instanceKeeper.stop();
+		this.member.stop();
+		await this.member.leave();
+		this.services.log.logState('shutdown.ended', {sessions: this.#sessions.size, durationMs: Math.round(elapsed())});
+	}
+
+	#closeRevoked(): void {
+		for (const session of this.#sessions) {
+			session.closeIfRevoked();
+		}
+	}
+}
+
+async function pause(ms: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/lifecycle/index.ts
@@ -0,0 +1,1 @@
+export * from './gateway.js';
--- /dev/null
+++ b/packages/gateway/src/limits/index.ts
@@ -0,0 +1,1 @@
+export * from './account-limiter.js';
--- /dev/null
+++ b/packages/gateway/src/observability/decision-log.ts
@@ -0,0 +1,73 @@
+import process from 'node:process';
+import {Roarr, ROARR} from 'roarr';
+
+/** Values that a log line may carry. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** How much a kind of line may weigh. */
+export type LogImportance = 'state' | 'refusal' | 'success';
+
+/** Lines of one importance that are written in one second; what is beyond is counted. */
+const linesPerS: Readonly<Record<LogImportance, number>> = {state: 200, refusal: 20, success: 2};
+
+/** Bytes that may wait for a slow reader of standard output before lines are dropped. */
+const maxWaitingBytes = 262_144;
+
+const windowMs = 1000;
+
+/** Writes decisions as JSON lines, bounded in rate and in memory. */
+export class DecisionLog {
+	readonly #roarr;
+	#windowEndsAt = 0;
+	readonly #written: Record<LogImportance, number> = {state: 0, refusal: 0, success: 0};
+	#omitted = 0;
+
+	/** @param vm - Name of this VM, on every line. */
+	constructor(vm: string, private readonly output: NodeJS.WritableStream & {readonly writableLength: number} = process.stdout) {
+		this.#roarr = Roarr.child({vm});
+		ROARR.write = message => {
+			this.output.write(`${message}\n`);
+		};
+	}
+
+	/** Logs something that changes what this process believes. */
+	logState(event: string, fields: LogFields = {}): void {
+		this.#write('state', event, fields);
+	}
+
+	/** Logs a request that was not served. */
+	logRefusal(event: string, fields: LogFields): void {
+		this.#write('refusal', event, fields);
+	}
+
+	/** Logs a request that was served; most of these are left out. */
+	logSuccess(event: string, fields: LogFields): void {
+		this.#write('success', event, fields);
+	}
+
+	#write(importance: LogImportance, event: string, fields: LogFields): void {
+		const now = Date.now();
+		if (now >= this.#windowEndsAt || now < this.#windowEndsAt - windowMs) {
+			this.#startWindow(now);
+		}
+
+		if (this.#written[importance] >= linesPerS[importance] || this.output.writableLength > maxWaitingBytes) {
+			this.#omitted += 1;
+			return;
+		}
+
+		this.#written[importance] += 1;
+		this.#roarr.info({...fields}, event);
+	}
+
+	#startWindow(now: number): void {
+		this.#windowEndsAt = now + windowMs;
+		this.#written.state = 0;
+		this.#written.refusal = 0;
+		this.#written.success = 0;
+		if (this.#omitted > 0 && this.output.writableLength <= maxWaitingBytes) {
+			this.#roarr.info({lines: this.#omitted}, 'log.omitted');
+			this.#omitted = 0;
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/observability/gateway-metrics.ts
@@ -0,0 +1,59 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/** Waits and durations that are recorded. */
+export type Duration = 'statement' | 'place' | 'connect' | 'instance' | 'lease';
+
+const durations: readonly Duration[] = ['statement', 'place', 'connect', 'instance', 'lease'];
+const quantiles = [50, 90, 99, 99.9] as const;
+const microsecondsPerMs = 1000;
+const longestUs = 60_000_000;
+
+/** Counters, gauges and durations of a gateway. */
+export class GatewayMetrics {
+	readonly #counters = new Map<string, number>();
+	readonly #gauges = new Map<string, () => number>();
+	readonly #histograms = new Map<Duration, Histogram>();
+
+	addCount(name: string): void {
+		this.#counters.set(name, (this.#counters.get(name) ?? 0) + 1);
+	}
+
+	getCount(name: string): number {
+		return this.#counters.get(name) ?? 0;
+	}
+
+	/** Adds a value that is read when the metrics are. */
+	addGauge(name: string, read: () => number): void {
+		this.#gauges.set(name, read);
+	}
+
+	recordDuration(duration: Duration, ms: number): void {
+		let histogram = this.#histograms.get(duration);
+		if (histogram === undefined) {
+			histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: longestUs, numberOfSignificantValueDigits: 1, bitBucketSize: 32});
+			this.#histograms.set(duration, histogram);
+		}
+
+		histogram.recordValue(Math.min(longestUs, Math.max(1, Math.round(ms * microsecondsPerMs))));
+	}
+
+	/** Writes everything in the Prometheus text format. */
+	formatText(): string {
+		const lines = [...this.#counters].map(([name, value]) => `chicorysaddle_${name.replaceAll(/\W/gv, '_')} ${value}`);
+		for (const [name, read] of this.#gauges) {
+			lines.push(`chicorysaddle_${name.replaceAll(/\W/gv, '_')} ${read()}`);
+		}
+
+		for (const duration of durations) {
+			const histogram = this.#histograms.get(duration);
+			if (histogram !== undefined) {
+				lines.push(
+					...quantiles.map(quantile => `chicorysaddle_duration_ms{step="${duration}",quantile="${quantile / 100}"} ${histogram.getValueAtPercentile(quantile) / microsecondsPerMs}`),
+					`chicorysaddle_duration_ms_count{step="${duration}"} ${histogram.totalCount}`,
+				);
+			}
+		}
+
+		return `${lines.join('\n')}\n`;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/observability/index.ts
@@ -0,0 +1,2 @@
+export * from './decision-log.js';
+export * from './gateway-metrics.js';
--- /dev/null
+++ b/packages/gateway/src/ports/caller-connection.ts
@@ -0,0 +1,20 @@
+import {type Refusal, type LogPosition} from '@chicorysaddle/model';
+import {type SessionState} from '../statements/index.js';
+
+/** An answer to a caller's statement. */
+export type CallerAnswer = {
+	readonly result:
+		| {readonly kind: 'completed'; readonly rows: readonly string[]; readonly signature: string | undefined}
+		| {readonly kind: 'refused'; readonly refusal: Refusal};
+	readonly state: SessionState;
+	readonly position: LogPosition | undefined;
+};
+
+/** The caller's side of a session. */
+export type CallerConnection = {
+	sendReady(): void;
+	sendAnswer(answer: CallerAnswer): void;
+	/** Refuses the session and closes the connection. */
+	rejectSession(refusal: Refusal): void;
+	close(): void;
+};
--- /dev/null
+++ b/packages/gateway/src/ports/index.ts
@@ -0,0 +1,5 @@
+export type * from './clock.js';
+export type * from './instance-connector.js';
+export type * from './coordination-table.js';
+export type * from './promotion-service.js';
+export type * from './caller-connection.js';
--- /dev/null
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -0,0 +1,406 @@
+import {refusals, type LogPosition, type Refusal} from '@chicorysaddle/model';
+import {type ClientAccount} from '../configuration/index.js';
+import {type PreparedStatement, type SessionValues} from '../dispatch/index.js';
+import {type CallerConnection} from '../ports/index.js';
+import {type SessionState, type StatementKind, type StatementRequest} from '../statements/index.js';
+import {chooseAccountName, type Operation, type OperationResult} from './operation.js';
+import {type SessionIdentity, type SessionServices} from './session-services.js';
+import {type OperationOutcome, SingleStatement} from './single-statement.js';
+import {StatementRunner} from './statement-runner.js';
+import {getLaterCommit, Transaction, type TransactionAnswer} from './transaction.js';
+
+type Handler = (request: StatementRequest, startedAt: number) => Promise<void> | void;
+
+/** Statements that a caller may have waiting behind the one that runs. */
+const maxWaitingStatements = 64;
+
+const acceptedInFailedTransaction: ReadonlySet<StatementKind> = new Set(['commit', 'roll-back']);
+
+/** One caller's session: it lives as long as its connection. */
+export class CallerSession implements SessionValues {
+	readonly values = new Map<string, string>();
+	valuesVersion = 0;
+	readonly #prepared = new Map<string, PreparedStatement>();
+	readonly #waiting: Array<{readonly request: StatementRequest; readonly receivedAt: number}> = [];
+	readonly #single: SingleStatement;
+	readonly #runner: StatementRunner;
+	#state: SessionState = 'idle';
+	#transaction: Transaction | undefined;
+	#transactionTimer: NodeJS.Timeout | undefined;
+	#lastCommit: LogPosition | undefined;
+	#isRunning = false;
+	#isClosed = false;
+	#isClosing = false;
+	#closingRefusal: Refusal | undefined;
+
+	readonly #handlers: Readonly<Record<StatementKind, Handler>> = {
+		begin: (request, startedAt) => {
+			this.#begin(request, startedAt);
+		},
+		commit: async request => this.#endTransaction(request),
+		'roll-back': request => {
+			this.#rollBack(request);
+		},
+		read: async (request, startedAt) => this.#runStatement(request, startedAt, undefined),
+		write: async (request, startedAt) => this.#runStatement(request, startedAt, undefined),
+		execute: async (request, startedAt) => this.#execute(request, startedAt),
+		set: request => {
+			this.#setValue(request);
+		},
+		prepare: request => {
+			this.#prepare(request);
+		},
+		'close-prepared': request => {
+			this.#closePrepared(request);
+		},
+		malformed: request => {
+			this.#refuse(request, refusals.invalid(`statement "${request.statement.text.slice(0, 40)}"`));
+		},
+	};
+
+	constructor(
+		private readonly services: SessionServices,
+		private readonly identity: SessionIdentity,
+		private readonly caller: CallerConnection,
+		private readonly onEnded: () => void,
+	) {
+		this.#runner = new StatementRunner(services);
+		this.#single = new SingleStatement(services, this.#runner);
+	}
+
+	/** Whether nothing runs or waits and no transaction is open. */
+	get isIdle(): boolean {
+		return !this.#isRunning && this.#waiting.length === 0 && this.#state === 'idle';
+	}
+
+	/** Whether a transaction is open. */
+	get isInTransaction(): boolean {
+		return this.#state !== 'idle';
+	}
+
+	/**
+	 * Checks who the caller is and whether the database is there.
+	 * @returns Why the session cannot be opened, if it cannot.
+	 */
+	open(): Refusal | undefined {
+		const route = this.services.configuration.getRoute(this.identity.database);
+		if (route === undefined) {
+			return refusals.unknownDatabase(this.identity.database);
+		}
+
+		if (chooseAccountName(route, this.#getAccount()) === undefined) {
+			return refusals.unknownKey();
+		}
+
+		this.caller.sendReady();
+		return undefined;
+	}
+
+	/** Takes in a statement of the caller. */
+	receive(request: StatementRequest): void {
+		if (this.#waiting.length >= maxWaitingStatements) {
+			this.caller.close();
+			return;
+		}
+
+		this.#waiting.push({request, receivedAt: this.services.clock.now()});
+		if (!this.#isRunning) {
+			void this.#runWaiting();
+		}
+	}
+
+	/** Closes the session as soon as nothing runs and no transaction is open. */
+	closeWhenIdle(): void {
+		this.#isClosing = true;
+		this.#closeIfIdle();
+	}
+
+	/** Closes the session as soon as it is idle, if its key no longer opens its database. */
+	closeIfRevoked(): void {
+		const route = this.services.configuration.getRoute(this.identity.database);
+		if (route === undefined || chooseAccountName(route, this.#getAccount()) === undefined) {
+			this.closeWhenIdle();
+		}
+	}
+
+	/** Refuses every statement from now on, and ends an open transaction. */
+	refuseFurther(refusal: Refusal): void {
+		this.#closingRefusal = refusal;
+		this.#isClosing = true;
+		if (!this.#isRunning && this.#transaction !== undefined) {
+			this.#failTransaction();
+		}
+
+		this.#closeIfIdle();
+	}
+
+	/** Takes in that the caller is gone. */
+	observeClosed(): void {
+		if (!this.#isClosed) {
+			this.#isClosed = true;
+			this.#waiting.length = 0;
+			clearTimeout(this.#transactionTimer);
+			this.#transaction?.rollBack();
+			this.#transaction = undefined;
+			this.onEnded();
+		}
+	}
+
+	async #runWaiting(): Promise<void> {
+		this.#isRunning = true;
+		for (let next = this.#waiting.shift(); next !== undefined && !this.#isClosed; next = this.#waiting.shift()) {
+			clearTimeout(this.#transactionTimer);
+			await this.#handle(next.request, next.receivedAt);
+			this.services.metrics.recordDuration('statement', this.services.clock.now() - next.receivedAt);
+		}
+
+		this.#isRunning = false;
+		this.#watchTransaction();
+		this.#closeIfIdle();
+	}
+
+	async #handle(request: StatementRequest, receivedAt: number): Promise<void> {
+		const {kind} = request.statement;
+		if (this.#state === 'failed-transaction' && !acceptedInFailedTransaction.has(kind)) {
+			this.#refuse(request, refusals.invalid('the transaction failed; roll it back'));
+			return;
+		}
+
+		try {
+			await this.#handlers[kind](request, receivedAt);
+		} catch (error) {
+			this.services.log.logState('session.error', {connection: this.identity.connectionId, request: request.id, error: error instanceof Error ? error.stack : String(error)});
+			this.#refuse(request, refusals.outcomeUnknown('internal error'));
+		}
+	}
+
+	#begin(request: StatementRequest, startedAt: number): void {
+		if (this.#state !== 'idle') {
+			this.#refuse(request, refusals.invalid('a transaction is open already'));
+			return;
+		}
+
+		const begun = this.#beginOperation(request, startedAt);
+		if (begun.kind === 'refused') {
+			this.#refuse(request, begun.refusal, begun.isFinal);
+			return;
+		}
+
+		const {statement} = request;
+		this.#transaction = new Transaction(this.services, this.#runner, begun.operation, statement.kind === 'begin' ? statement.access : 'read-write');
+		this.#state = 'in-transaction';
+		this.#acknowledge();
+	}
+
+	async #endTransaction(request: StatementRequest): Promise<void> {
+		const transaction = this.#transaction;
+		if (this.#state === 'idle') {
+			this.#refuse(request, refusals.invalid('no transaction is open'));
+			return;
+		}
+
+		if (transaction === undefined) {
+			this.#state = 'idle';
+			this.#refuse(request, refusals.transactionAborted('a statement of it failed'));
+			return;
+		}
+
+		const refusal = this.#checkAccess(transaction.operation);
+		if (refusal !== undefined) {
+			this.#failTransaction();
+			this.#state = 'idle';
+			this.#refuse(request, refusal);
+			return;
+		}
+
+		const {outcome} = await transaction.run(request, undefined);
+		this.#transaction = undefined;
+		this.#state = 'idle';
+		this.#answer(request, outcome);
+	}
+
+	#rollBack(request: StatementRequest): void {
+		if (this.#state === 'idle') {
+			this.#refuse(request, refusals.invalid('no transaction is open'));
+			return;
+		}
+
+		this.#transaction?.rollBack();
+		this.#transaction = undefined;
+		this.#state = 'idle';
+		this.#acknowledge();
+	}
+
+	async #execute(request: StatementRequest, startedAt: number): Promise<void> {
+		const name = request.statement.kind === 'execute' ? request.statement.name : '';
+		const prepared = this.#prepared.get(name);
+		if (prepared === undefined) {
+			this.#refuse(request, refusals.preparedNotFound(name));
+			if (this.#transaction !== undefined) {
+				this.#failTransaction();
+			}
+
+			return;
+		}
+
+		await this.#runStatement(request, startedAt, prepared);
+	}
+
+	async #runStatement(request: StatementRequest, startedAt: number, prepared: PreparedStatement | undefined): Promise<void> {
+		const transaction = this.#transaction;
+		if (transaction !== undefined) {
+			await this.#runInTransaction(transaction, request, prepared);
+			return;
+		}
+
+		const begun = this.#beginOperation(request, startedAt);
+		if (begun.kind === 'refused') {
+			this.#refuse(request, begun.refusal, begun.isFinal);
+			return;
+		}
+
+		this.#answer(request, await this.#single.run(begun.operation, request, prepared));
+	}
+
+	async #runInTransaction(transaction: Transaction, request: StatementRequest, prepared: PreparedStatement | undefined): Promise<void> {
+		const refusal = this.#checkAccess(transaction.operation);
+		const {outcome, isOpen}: TransactionAnswer = refusal === undefined
+			? await transaction.run(request, prepared)
+			: {outcome: {kind: 'refused', refusal}, isOpen: false};
+		if (!isOpen) {
+			this.#failTransaction();
+		}
+
+		this.#answer(request, outcome);
+	}
+
+	#setValue(request: StatementRequest): void {
+		if (request.statement.kind === 'set') {
+			this.values.set(request.statement.name, request.statement.value);
+			this.valuesVersion += 1;
+		}
+
+		this.#acknowledge();
+	}
+
+	#prepare(request: StatementRequest): void {
+		if (request.statement.kind === 'prepare') {
+			const {name, access, shape} = request.statement;
+			this.#prepared.set(name, {access, shape});
+		}
+
+		this.#acknowledge();
+	}
+
+	#closePrepared(request: StatementRequest): void {
+		if (request.statement.kind === 'close-prepared') {
+			this.#prepared.delete(request.statement.name);
+		}
+
+		this.#acknowledge();
+	}
+
+	/** Checks key, database, shutdown and rate at the start of a statement or transaction. */
+	#beginOperation(request: StatementRequest, startedAt: number): OperationResult {
+		if (this.#closingRefusal !== undefined) {
+			return {kind: 'refused', refusal: this.#closingRefusal, isFinal: true};
+		}
+
+		const route = this.services.configuration.getRoute(this.identity.database);
+		if (route === undefined) {
+			return {kind: 'refused', refusal: refusals.unknownDatabase(this.identity.database), isFinal: true};
+		}
+
+		const account = chooseAccountName(route, this.#getAccount());
+		if (account === undefined) {
+			return {kind: 'refused', refusal: refusals.unknownKey(), isFinal: true};
+		}
+
+		const waitMs = this.#takeOperation(account);
+		if (waitMs > 0) {
+			return {kind: 'refused', refusal: refusals.overLimit(account, Math.ceil(waitMs)), isFinal: false};
+		}
+
+		return {kind: 'begun', operation: {
+			id: request.id, route, account, startedAt, session: this, lastCommit: this.#lastCommit,
+		}};
+	}
+
+	#takeOperation(account: string): number {
+		return this.services.configuration.getAccount(account) === undefined ? 0 : this.services.limiter.takeOperation(account);
+	}
+
+	/** Checks that the account of a transaction that is open still has its key. */
+	#checkAccess(operation: Operation): Refusal | undefined {
+		if (this.#closingRefusal !== undefined) {
+			return this.#closingRefusal;
+		}
+
+		return chooseAccountName(operation.route, this.#getAccount()) === operation.account ? undefined : refusals.unknownKey();
+	}
+
+	#getAccount(): ClientAccount | undefined {
+		return this.services.configuration.getAccountByKey(this.identity.keyDigest);
+	}
+
+	#failTransaction(): void {
+		this.#transaction?.rollBack();
+		this.#transaction = undefined;
+		this.#state = 'failed-transaction';
+	}
+
+	#watchTransaction(): void {
+		const idleMs = this.services.configuration.configuration?.transactionIdleMs;
+		if (this.#transaction === undefined || idleMs === undefined) {
+			return;
+		}
+
+		this.#transactionTimer = setTimeout(() => {
+			this.services.metrics.addCount('transaction_idle');
+			this.#failTransaction();
+		}, idleMs);
+	}
+
+	#answer(request: StatementRequest, outcome: OperationOutcome): void {
+		if (outcome.kind === 'refused') {
+			this.#refuse(request, outcome.refusal);
+			return;
+		}
+
+		if (outcome.isCommit) {
+			this.#lastCommit = getLaterCommit(this.#lastCommit, outcome.position);
+		}
+
+		this.services.metrics.addCount('completed');
+		this.services.log.logSuccess('statement.completed', {connection: this.identity.connectionId, request: request.id, statement: request.statement.kind});
+		if (!this.#isClosed) {
+			this.caller.sendAnswer({result: {kind: 'completed', rows: outcome.rows, signature: outcome.signature}, state: this.#state, position: outcome.position});
+		}
+	}
+
+	#acknowledge(): void {
+		if (!this.#isClosed) {
+			this.caller.sendAnswer({result: {kind: 'completed', rows: [], signature: undefined}, state: this.#state, position: undefined});
+		}
+	}
+
+	#refuse(request: StatementRequest, refusal: Refusal, isFinal = false): void {
+		this.services.metrics.addCount(`refused_${refusal.kind}`);
+		this.services.log.logRefusal('statement.refused', {
+			connection: this.identity.connectionId, request: request.id, statement: request.statement.kind, kind: refusal.kind, why: refusal.message,
+			ran: refusal.answer.ran, retryAfterMs: refusal.retryAfterMs, state: this.#state, configuration: this.services.configuration.version,
+		});
+		if (!this.#isClosed) {
+			this.caller.sendAnswer({result: {kind: 'refused', refusal}, state: this.#state, position: undefined});
+			if (isFinal) {
+				this.caller.close();
+			}
+		}
+	}
+
+	#closeIfIdle(): void {
+		if (this.#isClosing && this.isIdle && !this.#isClosed) {
+			this.caller.close();
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/sessions/session-services.ts
@@ -0,0 +1,24 @@
+import {type ConfigurationView} from '../configuration/index.js';
+import {type Dispatcher} from '../dispatch/index.js';
+import {type AccountLimiter} from '../limits/index.js';
+import {type DecisionLog, type GatewayMetrics} from '../observability/index.js';
+import {type Clock} from '../ports/index.js';
+import {type TermRegistry} from '../terms/index.js';
+
+/** What sessions need from the rest of the gateway. */
+export type SessionServices = {
+	readonly configuration: ConfigurationView;
+	readonly dispatcher: Dispatcher;
+	readonly limiter: AccountLimiter;
+	readonly terms: TermRegistry;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly metrics: GatewayMetrics;
+};
+
+/** What a caller presented when it opened its session. */
+export type SessionIdentity = {
+	readonly connectionId: string;
+	readonly database: string;
+	readonly keyDigest: string;
+};
--- /dev/null
+++ b/packages/gateway/src/sessions/statement-runner.ts
@@ -0,0 +1,122 @@
+import {
+	refusals, type LogPosition, type Refusal,
+} from '@chicorysaddle/model';
+import {type Place, type PreparedStatement} from '../dispatch/index.js';
+import {
+	type InstanceErrorKind, type OutgoingStatement, type SessionState, type Statement, type StatementOutcome,
+} from '../statements/index.js';
+import {type Operation} from './operation.js';
+import {type SessionServices} from './session-services.js';
+
+/** What a place did for a statement. */
+export type RunResult =
+	| {readonly kind: 'completed'; readonly rows: readonly string[]; readonly signature: string; readonly state: SessionState; readonly position: LogPosition | undefined}
+	/** The statement did not run and may be sent elsewhere. */
+	| {readonly kind: 'not-run'; readonly reason: InstanceErrorKind | 'preparation-failed' | 'lease-ended'; readonly state: SessionState}
+	/** The statement ran and failed, with the state that the instance answered. */
+	| {readonly kind: 'failed'; readonly refusal: Refusal; readonly state: SessionState}
+	/** There was no answer. */
+	| {readonly kind: 'lost'; readonly reason: 'closed' | 'timeout'};
+
+/** Time to put a session's values in force, milliseconds: no slot is needed for it. */
+const preparationTimeoutMs = 500;
+
+const errorResults: Readonly<Record<InstanceErrorKind, (message: string, timeoutMs: number) => Refusal | undefined>> = {
+	aborted: () => undefined,
+	busy: () => undefined,
+	'connection-limit': () => undefined,
+	lagging: () => undefined,
+	'no-statement': () => undefined,
+	'not-primary': () => undefined,
+	'wrong-instance': () => undefined,
+	failed: message => refusals.statementFailed(message),
+	malformed: message => refusals.invalid(message),
+	'outcome-unknown': message => refusals.outcomeUnknown(message),
+	timeout: (_message, timeoutMs) => refusals.statementTimeout(timeoutMs),
+};
+
+/** Sends one statement at a time to a place and takes in what the answer tells about the instance. */
+export class StatementRunner {
+	constructor(private readonly services: SessionServices) {}
+
+	/**
+	 * Runs a statement of a caller.
+	 * @param prepared - What the statement executes, for prepared ones.
+	 * @param since - Position that the instance has to hold.
+	 * @param deadline - Steady time until which the answer is waited for.
+	 */
+	async run(place: Place, operation: Operation, outgoing: OutgoingStatement, prepared: PreparedStatement | undefined, deadline: number): Promise<RunResult> {
+		const isPrepared = await this.#prepare(place, operation, prepared);
+		if (!isPrepared) {
+			return {kind: 'not-run', reason: 'preparation-failed', state: 'idle'};
+		}
+
+		const {clock, terms, metrics} = this.services;
+		const {pool, connection} = place;
+		if (place.isPrimary && !await terms.waitUntilUsable(operation.route.group, pool.instance.id)) {
+			return {kind: 'not-run', reason: 'lease-ended', state: 'idle'};
+		}
+
+		const sentAt = clock.now();
+		const [outcome] = await connection.connection.run([this.#name(place, outgoing, prepared)], Math.max(1, deadline - sentAt));
+		const now = clock.now();
+		metrics.recordDuration('instance', now - sentAt);
+		pool.tracker.observeOutcome(outcome!, sentAt, now);
+		this.#observePosition(place, operation, outcome!, sentAt);
+		return this.#convert(place, outgoing, outcome!, deadline - sentAt);
+	}
+
+	async #prepare(place: Place, operation: Operation, prepared: PreparedStatement | undefined): Promise<boolean> {
+		const preparation = place.connection.createPreparation(operation.session, prepared);
+		if (preparation.length === 0) {
+			return true;
+		}
+
+		const outcomes = await place.connection.connection.run(preparation, preparationTimeoutMs);
+		const isDone = outcomes.every(outcome => outcome.kind === 'completed');
+		if (!isDone) {
+			// What is in force on the connection is not known any more.
+			place.connection.connection.close();
+		}
+
+		return isDone;
+	}
+
+	#name(place: Place, outgoing: OutgoingStatement, prepared: PreparedStatement | undefined): OutgoingStatement {
+		const name = prepared === undefined ? undefined : place.connection.getPreparedName(prepared);
+		return name === undefined || outgoing.statement.kind !== 'execute' ? outgoing : {...outgoing, statement: {...outgoing.statement, name}};
+	}
+
+	#observePosition(place: Place, operation: Operation, outcome: StatementOutcome, sentAt: number): void {
+		if (place.isPrimary && outcome.kind !== 'broken' && outcome.position !== undefined) {
+			this.services.terms.observePosition(operation.route.group, outcome.position, sentAt);
+		}
+	}
+
+	#convert(place: Place, outgoing: OutgoingStatement, outcome: StatementOutcome, timeoutMs: number): RunResult {
+		if (outcome.kind === 'completed') {
+			return outcome;
+		}
+
+		if (outcome.kind === 'broken') {
+			return {kind: 'lost', reason: outcome.reason};
+		}
+
+		this.services.metrics.addCount(`instance_error_${outcome.error}`);
+		if (outcome.error === 'lagging' && outgoing.since !== undefined) {
+			place.pool.tracker.observeLagging(outgoing.since, this.services.clock.now());
+		} else if (outcome.error === 'no-statement') {
+			place.connection.clearPrepared();
+		}
+
+		const refusal = errorResults[outcome.error](outcome.message, timeoutMs);
+		return refusal === undefined
+			? {kind: 'not-run', reason: outcome.error, state: outcome.state}
+			: {kind: 'failed', refusal, state: outcome.state};
+	}
+}
+
+/** Says whether a statement of a caller may change data. */
+export function isWriting(statement: Statement, prepared: PreparedStatement | undefined): boolean {
+	return statement.kind === 'write' || prepared?.access === 'write';
+}
--- /dev/null
+++ b/packages/gateway/src/statements/index.ts
@@ -0,0 +1,2 @@
+export type * from './statement.js';
+export type * from './outcome.js';
--- /dev/null
+++ b/packages/gateway/src/terms/index.ts
@@ -0,0 +1,1 @@
+export * from './term-registry.js';
--- /dev/null
+++ b/packages/gateway/src/terms/term-registry.ts
@@ -0,0 +1,184 @@
+import {type Moment, PositionLog, TimedLease} from '@chicorysaddle/decisions';
+import {type LogPosition} from '@chicorysaddle/model';
+import {type DecisionLog, type GatewayMetrics} from '../observability/index.js';
+import {type Clock} from '../ports/index.js';
+
+/** Who leads a group. `closing` means that its primary may no longer be used. */
+export type GroupTerm = {
+	readonly group: string;
+	readonly term: number;
+	readonly primaryId: string;
+	readonly phase: 'open' | 'closing';
+	/** Version of the row in the store; a higher one is newer. */
+	readonly revision: number;
+};
+
+/** Time for which a confirmation that no term was closed holds, milliseconds: four heartbeats may be lost. */
+export const termLeaseMs = 1500;
+
+/** Time for which a statement waits for a lease that ended, milliseconds: a clock jump ends one until the next heartbeat. */
+const regainWaitMs = 400;
+
+/** Interval at which such a statement looks, milliseconds. */
+const regainPollMs = 10;
+
+/** Largest staleness for which positions are kept, milliseconds. */
+const keptPositionsMs = 5000;
+
+/** Knows who leads each group, and whether that may be relied on at this moment. */
+export class TermRegistry {
+	readonly #terms = new Map<string, GroupTerm>();
+	readonly #closedSince = new Map<string, number>();
+	readonly #positions = new Map<string, PositionLog>();
+	readonly #lease = new TimedLease(termLeaseMs);
+	readonly #listeners: Array<(term: GroupTerm) => void> = [];
+	readonly #confirmListeners: Array<() => void> = [];
+
+	constructor(private readonly clock: Clock, private readonly log: DecisionLog, private readonly metrics: GatewayMetrics) {}
+
+	onChanged(listener: (term: GroupTerm) => void): void {
+		this.#listeners.push(listener);
+	}
+
+	/** Called whenever the lease was confirmed after it had ended. */
+	onRegained(listener: () => void): void {
+		this.#confirmListeners.push(listener);
+	}
+
+	getTerm(group: string): GroupTerm | undefined {
+		return this.#terms.get(group);
+	}
+
+	getTerms(): GroupTerm[] {
+		return [...this.#terms.values()];
+	}
+
+	/** Returns since when a group's term is closing, steady milliseconds. */
+	getClosedSince(group: string): number | undefined {
+		return this.#closedSince.get(group);
+	}
+
+	getMoment(): Moment {
+		return {steady: this.clock.now(), wall: this.clock.getWallTime()};
+	}
+
+	isLeaseHeld(): boolean {
+		return this.#lease.isHeld(this.getMoment());
+	}
+
+	getLeaseRemainingMs(): number {
+		return this.#lease.getRemainingMs(this.getMoment());
+	}
+
+	/**
+	 * Takes in that the terms known here were the newest ones at a moment.
+	 * @param at - Moment at which that was asked for.
+	 */
+	confirm(at: Moment): void {
+		const wasHeld = this.isLeaseHeld();
+		this.#lease.confirm(at);
+		if (!wasHeld && this.isLeaseHeld()) {
+			this.log.logState('term-lease.taken', {ageMs: Math.round(this.clock.now() - at.steady)});
+			for (const listener of this.#confirmListeners) {
+				listener();
+			}
+		}
+	}
+
+	/** Takes in a group's term, unless a newer one is known. */
+	applyTerm(term: GroupTerm): void {
+		const known = this.#terms.get(term.group);
+		if (known !== undefined && term.revision <= known.revision) {
+			return;
+		}
+
+		this.#terms.set(term.group, term);
+		if (term.phase === 'closing') {
+			this.#closedSince.set(term.group, this.#closedSince.get(term.group) ?? this.clock.now());
+		} else {
+			this.#closedSince.delete(term.group);
+		}
+
+		if (known?.term !== term.term) {
+			this.#positions.get(term.group)?.clear();
+		}
+
+		this.metrics.addCount(`term_${term.phase}`);
+		this.log.logState('term.adopted', {
+			group: term.group, term: term.term, primary: term.primaryId, phase: term.phase, revision: term.revision, before: known?.revision,
+		});
+		for (const listener of this.#listeners) {
+			listener(term);
+		}
+	}
+
+	/** Returns the instance that leads a group, if that is certain now. */
+	getUsablePrimary(group: string): string | undefined {
+		const term = this.#terms.get(group);
+		return term?.phase === 'open' && this.isLeaseHeld() ? term.primaryId : undefined;
+	}
+
+	/** Says whether an instance may be used as a group's primary now. */
+	isUsablePrimary(group: string, instanceId: string): boolean {
+		return this.getUsablePrimary(group) === instanceId;
+	}
+
+	/**
+	 * Waits until an instance may be used as a group's primary.
+	 * @returns False when it leads no more, or the lease was not regained in time.
+	 */
+	async waitUntilUsable(group: string, instanceId: string): Promise<boolean> {
+		const deadline = this.clock.now() + regainWaitMs;
+		for (;;) {
+			const term = this.#terms.get(group);
+			if (term?.phase !== 'open' || term.primaryId !== instanceId) {
+				return false;
+			}
+
+			if (this.isLeaseHeld()) {
+				return true;
+			}
+
+			if (this.clock.now() >= deadline) {
+				return false;
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, regainPollMs);
+			});
+		}
+	}
+
+	/**
+	 * Takes in a primary's position.
+	 * @param observedAt - Steady time at which the statement was sent, under a lease.
+	 */
+	observePosition(group: string, position: LogPosition, observedAt: number): void {
+		if (position.term !== this.#terms.get(group)?.term) {
+			return;
+		}
+
+		this.#getPositions(group).addSample({observedAt, position}, this.clock.now());
+	}
+
+	/** Returns the lowest position that covers every commit acknowledged before a time. */
+	getPositionCovering(group: string, time: number): LogPosition | undefined {
+		return this.#positions.get(group)?.getPositionCovering(time);
+	}
+
+	/** Returns a group's newest known position with its age. */
+	getNewestPosition(group: string): {readonly position: LogPosition; readonly ageMs: number} | undefined {
+		const sample = this.#positions.get(group)?.getNewest();
+		return sample === undefined ? undefined : {position: sample.position, ageMs: this.clock.now() - sample.observedAt};
+	}
+
+	#getPositions(group: string): PositionLog {
+		let log = this.#positions.get(group);
+		if (log === undefined) {
+			log = new PositionLog(keptPositionsMs);
+			this.#positions.set(group, log);
+		}
+
+		return log;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -0,0 +1,50 @@
+import {ConfigurationKeeper, ConfigurationView} from '../configuration/index.js';
+import {
+	ClusterMember, Coordinator, DutyKeeper, type GatewayIdentity, Promoter,
+} from '../coordination/index.js';
+import {Dispatcher} from '../dispatch/index.js';
+import {InstanceKeeper, InstanceRegistry} from '../instances/index.js';
+import {Gateway} from '../lifecycle/index.js';
+import {AccountLimiter} from '../limits/index.js';
+import {DecisionLog, GatewayMetrics} from '../observability/index.js';
+import {
+	type Clock, type CoordinationTable, type InstanceConnector, type PromotionService,
+} from '../ports/index.js';
+import {type SessionServices} from '../sessions/index.js';
+import {TermRegistry} from '../terms/index.js';
+
+/** What a gateway is connected to. */
+export type GatewayPorts = {
+	readonly clock: Clock;
+	readonly table: CoordinationTable;
+	readonly connector: InstanceConnector;
+	readonly promotion: PromotionService;
+};
+
+/** A gateway with what its surroundings may look at. */
+export type WiredGateway = {
+	readonly gateway: Gateway;
+	readonly log: DecisionLog;
+	readonly metrics: GatewayMetrics;
+};
+
+/** Wires the parts of a gateway; it is the only place that does. */
+export function createGateway(identity: GatewayIdentity, {clock, table, connector, promotion}: GatewayPorts): WiredGateway {
+	const log = new DecisionLog(identity.vm);
+	const metrics = new GatewayMetrics();
+	const configuration = new ConfigurationView();
+	const configurationKeeper = new ConfigurationKeeper(table, configuration, log);
+	const instances = new InstanceRegistry(log);
+	const instanceKeeper = new InstanceKeeper(table, instances, clock, log);
+	const terms = new TermRegistry(clock, log, metrics);
+	const dispatcher = new Dispatcher(configuration, instances, terms, connector, clock, metrics);
+	const limiter = new AccountLimiter(configuration, clock);
+	const duty = new DutyKeeper(table, identity, clock, log);
+	const coordinator = new Coordinator(identity.vm, duty, terms, configuration, clock);
+	const promoter = new Promoter(identity.vm, duty, coordinator, terms, instances, configuration, dispatcher, table, connector, promotion, clock, log, metrics);
+	const member = new ClusterMember(identity, duty, coordinator, promoter, terms, configuration, configurationKeeper, dispatcher, limiter, table, clock, log);
+	const services: SessionServices = {
+		configuration, dispatcher, limiter, terms, clock, log, metrics,
+	};
+	return {gateway: new Gateway(services, instances, configurationKeeper, instanceKeeper, member), log, metrics};
+}
--- /dev/null
+++ b/packages/gateway/src/wiring/index.ts
@@ -0,0 +1,1 @@
+export * from './create-gateway.js';
--- a/packages/model/src/errors/error-kind.ts
+++ b/packages/model/src/errors/error-kind.ts
@@ -15,6 +15,9 @@
 	| 'outcome-unknown'
 	| 'transaction-lost'
 	| 'transaction-not-found'
+	| 'statement-failed'
+	| 'statement-timeout'
+	| 'prepared-not-found'
 	| 'conflict'
 	| 'store-unavailable'
 	| 'internal';
@@ -68,6 +71,9 @@
 	'outcome-unknown': describeAnswer('unknown', 'unknown'),
 	'transaction-lost': describeAnswer('aborted', 'no', 0),
 	'transaction-not-found': describeAnswer('not_found', 'no'),
+	'statement-failed': describeAnswer('unknown', 'unknown'),
+	'statement-timeout': describeAnswer('deadline_exceeded', 'unknown'),
+	'prepared-not-found': describeAnswer('not_found', 'no'),
 	conflict: describeAnswer('failed_precondition', 'no'),
 	'store-unavailable': describeAnswer('unavailable', 'unknown', 1000),
 	internal: describeAnswer('internal', 'unknown'),
--- /dev/null
+++ b/packages/protocol/src/coordination/index.ts
@@ -0,0 +1,1 @@
+export * from './messages.js';
--- /dev/null
+++ b/packages/protocol/src/coordination/messages.ts
@@ -0,0 +1,114 @@
+import {
+	array, boolean, Codec, exactly, type GetType, number, oneOf, optional, record, string,
+} from 'purify-ts';
+
+const position = Codec.interface({term: number, offset: number});
+
+/** A primary's position, as old as the sender says. */
+const positionReport = Codec.interface({position, ageMs: number});
+
+/** Evidence on a group's primary. */
+const evidenceReport = Codec.interface({
+	instanceId: string,
+	/** Time since the last answer, absent where there was none. */
+	answeredAgoMs: optional(number),
+	/** Time since which there were only failures, absent while all is well. */
+	failingForMs: optional(number),
+	isRefused: boolean,
+});
+
+/** Who leads a group, as the store's row of that revision says. */
+const groupTerm = Codec.interface({
+	group: string,
+	term: number,
+	primaryId: string,
+	phase: oneOf([exactly('open'), exactly('closing')]),
+	revision: number,
+});
+
+/** An account's share of its limit for one VM. */
+const share = Codec.interface({ratePerS: number, burst: number});
+
+/** What a VM tells the coordinator. */
+export const heartbeatCodec = Codec.interface({
+	kind: exactly('heartbeat'),
+	vm: string,
+	incarnation: string,
+	sequence: number,
+	/** Operations a second that callers asked for, by account. */
+	demands: record(string, number),
+	positions: record(string, positionReport),
+	evidence: record(string, evidenceReport),
+	/** Newest revision of each group's term that this VM acts by. */
+	revisions: record(string, number),
+	configurationVersion: number,
+	/** The newest report that was received, with the time since then: it bounds when this heartbeat was sent. */
+	echo: optional(Codec.interface({stampMs: number, ageMs: number})),
+});
+
+/** What the coordinator answers, or pushes without a sequence when a term changes. */
+export const reportCodec = Codec.interface({
+	kind: exactly('report'),
+	sequence: optional(number),
+	/** Steady time of the coordinator, milliseconds. */
+	stampMs: number,
+	/** Fencing token of the coordinator. */
+	token: number,
+	/** Version of the coordinator's row in the store. */
+	dutyRevision: number,
+	terms: array(groupTerm),
+	shares: record(string, share),
+	positions: record(string, positionReport),
+	configurationVersion: number,
+	members: number,
+});
+
+/** Asks a VM for the configuration that it has. */
+export const configurationRequestCodec = Codec.interface({kind: exactly('configuration-request')});
+
+/** The configuration in the store's encoding. */
+export const configurationReplyCodec = Codec.interface({kind: exactly('configuration-reply'), version: number, encoded: string});
+
+/** Tells a VM that it is not talking to the coordinator. */
+export const notCoordinatorCodec = Codec.interface({kind: exactly('not-coordinator')});
+
+const messageCodec = oneOf([heartbeatCodec, reportCodec, configurationRequestCodec, configurationReplyCodec, notCoordinatorCodec]);
+
+export type GroupTermMessage = GetType<typeof groupTerm>;
+export type EvidenceReport = GetType<typeof evidenceReport>;
+export type PositionReport = GetType<typeof positionReport>;
+export type ShareMessage = GetType<typeof share>;
+export type Heartbeat = GetType<typeof heartbeatCodec>;
+export type Report = GetType<typeof reportCodec>;
+export type ConfigurationReply = GetType<typeof configurationReplyCodec>;
+export type PeerMessage = GetType<typeof messageCodec>;
+
+const codecs: Readonly<Record<string, {decode: (input: unknown) => ReturnType<typeof messageCodec.decode>}>> = {
+	heartbeat: heartbeatCodec,
+	report: reportCodec,
+	'configuration-request': configurationRequestCodec,
+	'configuration-reply': configurationReplyCodec,
+	'not-coordinator': notCoordinatorCodec,
+};
+
+/**
+ * Reads one message between VMs.
+ * @param text - One line of JSON.
+ * @returns The message, or what was wrong with it.
+ */
+export function parsePeerMessage(text: string): PeerMessage | {readonly kind: 'invalid'; readonly reason: string} {
+	try {
+		const value = JSON.parse(text) as {kind?: unknown} | null;
+		const codec = codecs[String(value?.kind)];
+		return codec === undefined
+			? {kind: 'invalid', reason: `unknown kind "${String(value?.kind)}"`}
+			: codec.decode(value).caseOf<PeerMessage | {kind: 'invalid'; reason: string}>({Left: reason => ({kind: 'invalid', reason}), Right: message => message});
+	} catch (error) {
+		return {kind: 'invalid', reason: String(error)};
+	}
+}
+
+/** Writes one message between VMs as a line. */
+export function formatPeerMessage(message: PeerMessage): string {
+	return `${JSON.stringify(message)}\n`;
+}
--- a/packages/proxy/src/configuration/configuration-keeper.ts
+++ b/packages/proxy/src/configuration/configuration-keeper.ts
@@ -3,7 +3,7 @@
 import {
 	Configuration, type ConfigurationChange, type ParsedRow, type Refusal, refusals, type StoredRow,
 } from '@chicorysaddle/model';
-import {type ConfigurationLog, snapshotInterval} from '@chicorysaddle/platform';
+import {type ConfigurationLog, snapshotInterval} from '@chicorysaddle/store';
 import {type PullConfigurationResponse} from '@chicorysaddle/protocol';
 import {type Clock, type Logger} from '../observability/index.js';
 import {type Membership, type Peer} from '../membership/index.js';
--- a/packages/proxy/src/groups/promoter.ts
+++ b/packages/proxy/src/groups/promoter.ts
@@ -1,6 +1,6 @@
 import {create} from '@bufbuild/protobuf';
 import {PromotionRound, type PromotionCommand} from '@chicorysaddle/decisions';
-import {type Table, type TableRow} from '@chicorysaddle/platform';
+import {type Table, type TableRow} from '@chicorysaddle/store';
 import {type FenceResponse, FenceRequestSchema, PromoteRequestSchema} from '@chicorysaddle/protocol';
 import {type Either, Left} from 'purify-ts';
 import {z} from 'zod';
--- a/packages/proxy/src/membership/membership.ts
+++ b/packages/proxy/src/membership/membership.ts
@@ -1,4 +1,4 @@
-import {type ListedVm, type VmList} from '@chicorysaddle/platform';
+import {type ListedVm, type VmList} from '@chicorysaddle/store';
 import {type Clock} from '../observability/index.js';
 import {Peer, type PeerOptions} from './peer.js';
 
--- a/packages/proxy/src/membership/peer.ts
+++ b/packages/proxy/src/membership/peer.ts
@@ -1,6 +1,6 @@
 import {type Client, createClient, type Interceptor} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
-import {createSessionOptions} from '@chicorysaddle/platform';
+import {createSessionOptions} from '@chicorysaddle/store';
 import {PeerService} from '@chicorysaddle/protocol';
 
 /** Header in which proxies show one another their secret. */
--- a/packages/proxy/src/requests/claim-registry.ts
+++ b/packages/proxy/src/requests/claim-registry.ts
@@ -1,7 +1,7 @@
 import {type Either, Left, Right} from 'purify-ts';
 import {z} from 'zod';
 import {type Refusal, refusals} from '@chicorysaddle/model';
-import {type Table} from '@chicorysaddle/platform';
+import {type Table} from '@chicorysaddle/store';
 
 const claimSchema = z.object({bodyHash: z.string(), claimId: z.string()});
 /** Rows that claims are spread over; each row keeps the newest claims only. */
--- a/packages/proxy/src/wiring/container.ts
+++ b/packages/proxy/src/wiring/container.ts
@@ -2,7 +2,7 @@
 import 'reflect-metadata';
 import {Container, type ServiceIdentifier} from 'inversify';
 import {Freshness, ReadRouter, RetryBudget} from '@chicorysaddle/decisions';
-import {ConfigurationLog, PlatformClient} from '@chicorysaddle/platform';
+import {ConfigurationLog, PlatformClient} from '@chicorysaddle/store';
 import {AccessGate} from '../access/index.js';
 import {ConfigurationKeeper} from '../configuration/index.js';
 import {HttpEndpointConnector} from '../endpoints/index.js';
--- a/packages/proxy/src/wiring/proxy.ts
+++ b/packages/proxy/src/wiring/proxy.ts
@@ -1,7 +1,7 @@
 import {type Container} from 'inversify';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {Freshness} from '@chicorysaddle/decisions';
-import {PlatformClient} from '@chicorysaddle/platform';
+import {PlatformClient} from '@chicorysaddle/store';
 import {AccessGate} from '../access/index.js';
 import {ConfigurationKeeper} from '../configuration/index.js';
 import {GroupRegistry} from '../groups/index.js';
--- a/packages/testkit/src/embedded/bootstrap.ts
+++ b/packages/testkit/src/embedded/bootstrap.ts
@@ -1,5 +1,5 @@
 import {randomBytes} from 'node:crypto';
-import {ConfigurationLog, PlatformClient} from '@chicorysaddle/platform';
+import {ConfigurationLog, PlatformClient} from '@chicorysaddle/store';
 import {formatRow, type Route, type StoredRow} from '@chicorysaddle/model';
 import {hashKey} from '@chicorysaddle/proxy';
 import {type Deployment} from '../stand-ins/index.js';
--- a/packages/testkit/src/stand-ins/platform-server.ts
+++ b/packages/testkit/src/stand-ins/platform-server.ts
@@ -7,7 +7,7 @@
 import {
 	type CompareAndSetRequest, ObjectService, type ReadRequest, TableService, VmListService,
 } from '@chicorysaddle/protocol';
-import {type ListedVm} from '@chicorysaddle/platform';
+import {type ListedVm} from '@chicorysaddle/store';
 
 const sourceKey = createContextKey<string>('', {description: 'source address'});
 
