--- a/packages/gateway/src/configuration/configuration-view.ts
+++ b/packages/gateway/src/configuration/configuration-view.ts
@@ -1,4 +1,6 @@
-import {type ClientAccount, type DatabaseGroup, type DatabaseRoute, type GatewayConfiguration} from './gateway-configuration.js';
+import {
+	type ClientAccount, type DatabaseGroup, type DatabaseRoute, type GatewayConfiguration,
+} from './gateway-configuration.js';
 
 /** Looks things up in the version of the configuration that is in force here. */
 export class ConfigurationView {
--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -12,7 +12,9 @@
 import {type Coordinator} from './coordinator.js';
 import {type DutyKeeper} from './duty-keeper.js';
 import {type GatewayIdentity} from './gateway-identity.js';
-import {connectPeer, listenForPeers, parseSocketAddress, type PeerLink} from './peer-link.js';
+import {
+	connectPeer, listenForPeers, parseSocketAddress, type PeerLink,
+} from './peer-link.js';
 import {type Promoter} from './promoter.js';
 import {
 	type DutyRow, getMemberKey, parseSharedRows, type SharedState,
@@ -44,12 +46,29 @@
 
 type SentHeartbeat = {readonly sequence: number; readonly at: Moment};
 
+/** What a VM keeps its place among the others with. */
+export type ClusterMemberParts = {
+	readonly identity: GatewayIdentity;
+	readonly duty: DutyKeeper;
+	readonly coordinator: Coordinator;
+	readonly promoter: Promoter;
+	readonly terms: TermRegistry;
+	readonly configuration: ConfigurationView;
+	readonly keeper: ConfigurationKeeper;
+	readonly dispatcher: Dispatcher;
+	readonly limiter: AccountLimiter;
+	readonly table: CoordinationTable;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+};
+
 /** Keeps this VM's place among the others: its leases, shares, and what it tells of itself. */
 export class ClusterMember {
 	#server: Server | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#link: PeerLink | undefined;
 	#linkAddress = '';
+	#linkOpenedAt = Number.NEGATIVE_INFINITY;
 	#coordinator: DutyRow | undefined;
 	#registeredVersion = 0;
 	#isRegistered = false;
@@ -63,27 +82,14 @@
 	#checkedMembersAt = 0;
 	#isUrgent = false;
 
-	constructor(
-		private readonly identity: GatewayIdentity,
-		private readonly duty: DutyKeeper,
-		private readonly coordinator: Coordinator,
-		private readonly promoter: Promoter,
-		private readonly terms: TermRegistry,
-		private readonly configuration: ConfigurationView,
-		private readonly keeper: ConfigurationKeeper,
-		private readonly dispatcher: Dispatcher,
-		private readonly limiter: AccountLimiter,
-		private readonly table: CoordinationTable,
-		private readonly clock: Clock,
-		private readonly log: DecisionLog,
-	) {
-		terms.onChanged(() => {
+	constructor(private readonly parts: ClusterMemberParts) {
+		parts.terms.onChanged(() => {
 			this.#isUrgent = true;
 		});
 	}
 
 	async start(): Promise<void> {
-		this.#server = await listenForPeers(parseSocketAddress(this.identity.peerAddress), link => ({
+		this.#server = await listenForPeers(parseSocketAddress(this.parts.identity.peerAddress), link => ({
 			onMessage: message => {
 				this.#receiveFromPeer(link, message);
 			},
@@ -103,7 +109,7 @@
 	/** Removes this VM from the members, so that nobody waits for it. */
 	async leave(): Promise<void> {
 		if (this.#isRegistered) {
-			await this.table.writeSharedRows([{key: getMemberKey(this.identity.vm), expectedVersion: this.#registeredVersion, value: undefined}], callTimeoutMs);
+			await this.parts.table.writeSharedRows([{key: getMemberKey(this.parts.identity.vm), expectedVersion: this.#registeredVersion, value: undefined}], callTimeoutMs);
 		}
 	}
 
@@ -115,8 +121,8 @@
 	}
 
 	#tick(): void {
-		const now = this.clock.now();
-		if (this.duty.isHeld()) {
+		const now = this.parts.clock.now();
+		if (this.parts.duty.isHeld()) {
 			this.#coordinate(now);
 			return;
 		}
@@ -130,14 +136,14 @@
 	#coordinate(now: number): void {
 		this.#link?.close();
 		this.#link = undefined;
-		this.terms.confirm(this.terms.getMoment());
+		this.parts.terms.confirm(this.parts.terms.getMoment());
 		if (now - this.#sentAt >= heartbeatMs) {
 			this.#sentAt = now;
-			this.#applyShares(this.coordinator.receiveHeartbeat(this.#createHeartbeat(), undefined), now);
+			this.#applyShares(this.parts.coordinator.receiveHeartbeat(this.#createHeartbeat(), undefined), now);
 		}
 
-		void this.duty.renew();
-		this.promoter.sweep();
+		void this.parts.duty.renew();
+		this.parts.promoter.sweep();
 		if (now - this.#checkedMembersAt > memberCheckMs) {
 			this.#checkedMembersAt = now;
 			void this.#checkMembers();
@@ -145,25 +151,25 @@
 	}
 
 	async #checkMembers(): Promise<void> {
-		const result = await this.table.readSharedRows(callTimeoutMs);
+		const result = await this.parts.table.readSharedRows(callTimeoutMs);
 		if (result.kind === 'failed') {
 			return;
 		}
 
-		const {members} = parseSharedRows(result.value, this.log);
-		this.coordinator.setRegistered(new Set(members.keys()));
-		for (const vm of this.coordinator.getSilent(memberGoneMs)) {
+		const {members} = parseSharedRows(result.value, this.parts.log);
+		this.parts.coordinator.setRegistered(new Set(members.keys()));
+		for (const vm of this.parts.coordinator.getSilent(memberGoneMs)) {
 			const row = members.get(vm);
-			if (row !== undefined && await this.duty.writeRows([{key: getMemberKey(vm), expectedVersion: row.version, value: undefined}]) !== undefined) {
-				this.log.logState('member.removed', {member: vm, silentMs: memberGoneMs});
-				this.coordinator.removeMember(vm);
+			if (row !== undefined && await this.parts.duty.writeRows([{key: getMemberKey(vm), expectedVersion: row.version, value: undefined}]) !== undefined) {
+				this.parts.log.logState('member.removed', {member: vm, silentMs: memberGoneMs});
+				this.parts.coordinator.removeMember(vm);
 			}
 		}
 	}
 
 	#sendHeartbeat(now: number): void {
 		const target = this.#coordinator;
-		if (target === undefined || target.holder === this.identity.vm) {
+		if (target === undefined || target.holder === this.parts.identity.vm) {
 			return;
 		}
 
@@ -179,13 +185,11 @@
 		}
 
 		const heartbeat = this.#createHeartbeat();
-		this.#sent.push({sequence: heartbeat.sequence, at: this.terms.getMoment()});
+		this.#sent.push({sequence: heartbeat.sequence, at: this.parts.terms.getMoment()});
 		this.#sent = this.#sent.slice(-8);
 		this.#link?.send(heartbeat);
 	}
 
-	#linkOpenedAt = Number.NEGATIVE_INFINITY;
-
 	#openLink(address: string, now: number): void {
 		this.#link?.close();
 		this.#linkAddress = address;
@@ -200,18 +204,18 @@
 
 	#createHeartbeat(): Heartbeat {
 		this.#sequence += 1;
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		const evidence: Heartbeat['evidence'] = {};
 		const positions: Heartbeat['positions'] = {};
 		const revisions: Heartbeat['revisions'] = {};
-		for (const term of this.terms.getTerms()) {
+		for (const term of this.parts.terms.getTerms()) {
 			revisions[term.group] = term.revision;
-			const position = this.terms.getNewestPosition(term.group);
+			const position = this.parts.terms.getNewestPosition(term.group);
 			if (position !== undefined) {
 				positions[term.group] = position;
 			}
 
-			const seen = this.dispatcher.getTracker(term.primaryId)?.createEvidence(this.identity.vm);
+			const seen = this.parts.dispatcher.getTracker(term.primaryId)?.createEvidence(this.parts.identity.vm);
 			if (seen !== undefined) {
 				evidence[term.group] = {
 					instanceId: seen.instanceId,
@@ -224,14 +228,14 @@
 
 		return {
 			kind: 'heartbeat',
-			vm: this.identity.vm,
-			incarnation: this.identity.incarnation,
+			vm: this.parts.identity.vm,
+			incarnation: this.parts.identity.incarnation,
 			sequence: this.#sequence,
-			demands: this.limiter.measureDemands(),
+			demands: this.parts.limiter.measureDemands(),
 			positions,
 			evidence,
 			revisions,
-			configurationVersion: this.configuration.version,
+			configurationVersion: this.parts.configuration.version,
 			echo: this.#echo === undefined ? undefined : {stampMs: this.#echo.stampMs, ageMs: now - this.#echo.receivedAt},
 		};
 	}
@@ -239,27 +243,29 @@
 	#receiveFromPeer(link: PeerLink, message: ReturnType<typeof parsePeerMessage>): void {
 		switch (message.kind) {
 			case 'heartbeat': {
-				link.send(this.duty.isHeld() ? this.coordinator.receiveHeartbeat(message, link) : {kind: 'not-coordinator'});
+				link.send(this.parts.duty.isHeld() ? this.parts.coordinator.receiveHeartbeat(message, link) : {kind: 'not-coordinator'});
 				return;
 			}
 
 			case 'configuration-request': {
-				const {encoded} = this.keeper;
+				const {encoded} = this.parts.keeper;
 				if (encoded !== undefined) {
-					link.send({kind: 'configuration-reply', version: this.configuration.version, encoded});
+					link.send({kind: 'configuration-reply', version: this.parts.configuration.version, encoded});
 				}
 
 				return;
 			}
 
 			case 'invalid': {
-				this.log.logState('peer.invalid', {reason: message.reason});
+				this.parts.log.logState('peer.invalid', {reason: message.reason});
 				link.close();
 				return;
 			}
 
-			default: {
-				this.log.logState('peer.unexpected', {message: message.kind});
+			case 'configuration-reply':
+			case 'not-coordinator':
+			case 'report': {
+				this.parts.log.logState('peer.unexpected', {message: message.kind});
 			}
 		}
 	}
@@ -272,7 +278,7 @@
 			}
 
 			case 'configuration-reply': {
-				this.keeper.applyEncoded(message.encoded, 'peer');
+				this.parts.keeper.applyEncoded(message.encoded, 'peer');
 				return;
 			}
 
@@ -281,21 +287,23 @@
 				return;
 			}
 
-			default: {
-				this.log.logState('peer.unexpected', {message: message.kind});
+			case 'configuration-request':
+			case 'heartbeat':
+			case 'invalid': {
+				this.parts.log.logState('peer.unexpected', {message: message.kind});
 			}
 		}
 	}
 
 	#receiveReport(report: Report): void {
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		for (const term of report.terms) {
-			this.terms.applyTerm(term);
+			this.parts.terms.applyTerm(term);
 		}
 
-		this.duty.observeVersion(report.dutyRevision);
+		this.parts.duty.observeVersion(report.dutyRevision);
 		this.#echo = {stampMs: report.stampMs, receivedAt: now};
-		if (report.configurationVersion > this.configuration.version) {
+		if (report.configurationVersion > this.parts.configuration.version) {
 			this.#link?.send({kind: 'configuration-request'} satisfies PeerMessage);
 		}
 
@@ -305,34 +313,34 @@
 		}
 
 		this.#answeredAt = now;
-		this.terms.confirm(sent.at);
+		this.parts.terms.confirm(sent.at);
 		for (const [group, {position, ageMs}] of Object.entries(report.positions)) {
-			this.terms.observePosition(group, position, sent.at.steady - ageMs);
+			this.parts.terms.observePosition(group, position, sent.at.steady - ageMs);
 		}
 
 		this.#applyShares(report, sent.at.steady);
 	}
 
 	#applyShares(report: Report, at: number): void {
-		this.limiter.setMembers(report.members);
-		this.dispatcher.setMembers(report.members);
-		this.limiter.applyShares(report.shares, at);
+		this.parts.limiter.setMembers(report.members);
+		this.parts.dispatcher.setMembers(report.members);
+		this.parts.limiter.applyShares(report.shares, at);
 	}
 
 	async #pollStore(): Promise<void> {
 		this.#isPolling = true;
-		this.#polledAt = this.clock.now();
+		this.#polledAt = this.parts.clock.now();
 		try {
 			if (!this.#isRegistered) {
 				await this.#register();
 			}
 
-			const at = this.terms.getMoment();
-			const result = await this.table.readSharedRows(callTimeoutMs);
+			const at = this.parts.terms.getMoment();
+			const result = await this.parts.table.readSharedRows(callTimeoutMs);
 			if (result.kind === 'ok') {
-				await this.#applyState(parseSharedRows(result.value, this.log), at);
+				await this.#applyState(parseSharedRows(result.value, this.parts.log), at);
 			} else {
-				this.log.logState('store.unavailable', {call: 'shared rows', reason: result.failure.reason, why: result.failure.message});
+				this.parts.log.logState('store.unavailable', {call: 'shared rows', reason: result.failure.reason, why: result.failure.message});
 			}
 		} finally {
 			this.#isPolling = false;
@@ -340,42 +348,42 @@
 	}
 
 	async #register(): Promise<void> {
-		const result = await this.table.readSharedRows(callTimeoutMs);
+		const result = await this.parts.table.readSharedRows(callTimeoutMs);
 		if (result.kind === 'failed') {
 			return;
 		}
 
-		const known = parseSharedRows(result.value, this.log).members.get(this.identity.vm);
-		const value = JSON.stringify({address: this.identity.peerAddress, zone: this.identity.zone, incarnation: this.identity.incarnation});
-		const written = await this.table.writeSharedRows([{key: getMemberKey(this.identity.vm), expectedVersion: known?.version ?? 0, value}], callTimeoutMs);
+		const known = parseSharedRows(result.value, this.parts.log).members.get(this.parts.identity.vm);
+		const value = JSON.stringify({address: this.parts.identity.peerAddress, zone: this.parts.identity.zone, incarnation: this.parts.identity.incarnation});
+		const written = await this.parts.table.writeSharedRows([{key: getMemberKey(this.parts.identity.vm), expectedVersion: known?.version ?? 0, value}], callTimeoutMs);
 		if (written.kind === 'ok' && written.value.isApplied) {
 			this.#isRegistered = true;
 			this.#registeredVersion = written.value.version;
-			this.log.logState('member.registered', {version: written.value.version});
+			this.parts.log.logState('member.registered', {version: written.value.version});
 		}
 	}
 
 	async #applyState(state: SharedState, at: Moment): Promise<void> {
 		for (const term of state.terms.values()) {
-			this.terms.applyTerm(term);
+			this.parts.terms.applyTerm(term);
 		}
 
 		// Only a VM that others know of may rely on what it read: a closing term waits for the known ones.
-		this.#isRegistered = state.members.get(this.identity.vm)?.incarnation === this.identity.incarnation;
+		this.#isRegistered = state.members.get(this.parts.identity.vm)?.incarnation === this.parts.identity.incarnation;
 		if (this.#isRegistered) {
-			this.#registeredVersion = state.members.get(this.identity.vm)!.version;
-			this.terms.confirm(at);
+			this.#registeredVersion = state.members.get(this.parts.identity.vm)!.version;
+			this.parts.terms.confirm(at);
 		}
 
-		this.limiter.setMembers(state.members.size);
-		this.dispatcher.setMembers(state.members.size);
+		this.parts.limiter.setMembers(state.members.size);
+		this.parts.dispatcher.setMembers(state.members.size);
 		this.#coordinator = state.duty;
 		if (state.duty !== undefined) {
-			this.duty.resume(state.duty, at);
+			this.parts.duty.resume(state.duty, at);
 		}
 
-		if (this.#isRegistered && !this.duty.isHeld() && this.duty.isVacant(state.duty) && await this.duty.takeOver(state.duty)) {
-			this.coordinator.setRegistered(new Set(state.members.keys()));
+		if (this.#isRegistered && !this.parts.duty.isHeld() && this.parts.duty.isVacant(state.duty) && await this.parts.duty.takeOver(state.duty)) {
+			this.parts.coordinator.setRegistered(new Set(state.members.keys()));
 		}
 	}
 }
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -1,5 +1,4 @@
 import {type BucketLimit, divideLimit, type PrimaryEvidence} from '@chicorysaddle/decisions';
-import {type LogPosition} from '@chicorysaddle/model';
 import {type Heartbeat, type Report} from '@chicorysaddle/protocol/coordination';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Clock} from '../ports/index.js';
@@ -149,7 +148,7 @@
 		// The sender had our stamp for this long when it wrote the heartbeat, which was no earlier than that.
 		const sentAt = heartbeat.echo.stampMs + heartbeat.echo.ageMs;
 		for (const [group, {position, ageMs}] of Object.entries(heartbeat.positions)) {
-			this.terms.observePosition(group, position as LogPosition, Math.min(sentAt, this.clock.now()) - ageMs);
+			this.terms.observePosition(group, position, Math.min(sentAt, this.clock.now()) - ageMs);
 		}
 	}
 
--- a/packages/gateway/src/coordination/duty-keeper.ts
+++ b/packages/gateway/src/coordination/duty-keeper.ts
@@ -174,7 +174,7 @@
 
 	async #exclusively<T>(work: () => Promise<T>): Promise<T> {
 		const result = this.#queue.then(work);
-		this.#queue = result.then(() => undefined, () => undefined);
+		this.#queue = result.catch(() => undefined).then(() => undefined);
 		return result;
 	}
 
--- a/packages/gateway/src/coordination/peer-link.ts
+++ b/packages/gateway/src/coordination/peer-link.ts
@@ -1,4 +1,6 @@
-import {createConnection, createServer, type Server, type Socket} from 'node:net';
+import {
+	createConnection, createServer, type Server, type Socket,
+} from 'node:net';
 import {formatPeerMessage, parsePeerMessage, type PeerMessage} from '@chicorysaddle/protocol/coordination';
 
 /** Longest line between VMs, characters: a configuration of thousands of routes. */
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -42,33 +42,36 @@
 /** Account name of connections that the gateway uses for itself. */
 const controlAccount = 'chicorysaddle';
 
+/** What a promoter works with. */
+export type PromoterParts = {
+	readonly vm: string;
+	readonly duty: DutyKeeper;
+	readonly coordinator: Coordinator;
+	readonly terms: TermRegistry;
+	readonly instances: InstanceRegistry;
+	readonly configuration: ConfigurationView;
+	readonly dispatcher: Dispatcher;
+	readonly table: CoordinationTable;
+	readonly connector: InstanceConnector;
+	readonly service: PromotionService;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly metrics: GatewayMetrics;
+};
+
 /** Gives each group a primary: one at a time, after no VM uses the former one any more. */
 export class Promoter {
 	readonly #running = new Set<string>();
 
-	constructor(
-		private readonly vm: string,
-		private readonly duty: DutyKeeper,
-		private readonly coordinator: Coordinator,
-		private readonly terms: TermRegistry,
-		private readonly instances: InstanceRegistry,
-		private readonly configuration: ConfigurationView,
-		private readonly dispatcher: Dispatcher,
-		private readonly table: CoordinationTable,
-		private readonly connector: InstanceConnector,
-		private readonly service: PromotionService,
-		private readonly clock: Clock,
-		private readonly log: DecisionLog,
-		private readonly metrics: GatewayMetrics,
-	) {}
+	constructor(private readonly parts: PromoterParts) {}
 
 	/** Looks at every group, and begins what is due. */
 	sweep(): void {
-		if (!this.duty.isHeld() || this.instances.appliedAt === undefined) {
+		if (!this.parts.duty.isHeld() || this.parts.instances.appliedAt === undefined) {
 			return;
 		}
 
-		for (const {name} of this.configuration.getGroups()) {
+		for (const {name} of this.parts.configuration.getGroups()) {
 			if (!this.#running.has(name)) {
 				void this.#judgeGroup(name);
 			}
@@ -78,7 +81,7 @@
 	async #judgeGroup(group: string): Promise<void> {
 		this.#running.add(group);
 		try {
-			const term = this.terms.getTerm(group);
+			const term = this.parts.terms.getTerm(group);
 			if (term === undefined) {
 				await this.#recordFirstPrimary(group);
 				return;
@@ -89,7 +92,7 @@
 				await this.#replacePrimary(term, reason);
 			}
 		} catch (error) {
-			this.log.logState('promotion.error', {group, error: error instanceof Error ? error.stack : String(error)});
+			this.parts.log.logState('promotion.error', {group, error: error instanceof Error ? error.stack : String(error)});
 		} finally {
 			this.#running.delete(group);
 		}
@@ -100,7 +103,7 @@
 			return 'resumed';
 		}
 
-		const instance = this.instances.getInstance(term.primaryId);
+		const instance = this.parts.instances.getInstance(term.primaryId);
 		if (instance === undefined) {
 			return 'gone';
 		}
@@ -109,19 +112,19 @@
 			return 'draining';
 		}
 
-		const own = this.dispatcher.getTracker(term.primaryId)?.createEvidence(this.vm);
-		const evidence = [...(own === undefined ? [] : [own]), ...this.coordinator.getEvidence(term.group)];
-		return isPrimaryDead(term.primaryId, evidence, this.coordinator.countHeard(), this.clock.now()) ? 'crashed' : undefined;
+		const own = this.parts.dispatcher.getTracker(term.primaryId)?.createEvidence(this.parts.vm);
+		const evidence = [...(own === undefined ? [] : [own]), ...this.parts.coordinator.getEvidence(term.group)];
+		return isPrimaryDead(term.primaryId, evidence, this.parts.coordinator.countHeard(), this.parts.clock.now()) ? 'crashed' : undefined;
 	}
 
 	async #answers(term: GroupTerm): Promise<boolean> {
-		const instance = this.instances.getInstance(term.primaryId);
+		const instance = this.parts.instances.getInstance(term.primaryId);
 		const reading = instance === undefined ? undefined : await this.#readStatus(instance);
 		return reading?.status.role === 'primary';
 	}
 
 	async #recordFirstPrimary(group: string): Promise<void> {
-		const readings = await this.#readAll(this.instances.getGroupInstances(group));
+		const readings = await this.#readAll(this.parts.instances.getGroupInstances(group));
 		const leader = findLeader(readings);
 		if (leader === undefined) {
 			await pause(retryPauseMs);
@@ -132,15 +135,17 @@
 	}
 
 	async #replacePrimary(term: GroupTerm, reason: PromotionReason): Promise<void> {
-		this.log.logState('promotion.begun', {group: term.group, term: term.term, primary: term.primaryId, reason, token: this.duty.token});
-		const startedAt = this.clock.now();
+		this.parts.log.logState('promotion.begun', {
+			group: term.group, term: term.term, primary: term.primaryId, reason, token: this.parts.duty.token,
+		});
+		const startedAt = this.parts.clock.now();
 		const closed = reason === 'resumed' ? term : await this.#writeTerm(term.group, term.revision, {term: term.term, primaryId: term.primaryId, phase: 'closing'});
 		if (closed === undefined || !await this.#waitUntilClosed(closed)) {
 			await pause(retryPauseMs);
 			return;
 		}
 
-		const closedMs = this.clock.now() - startedAt;
+		const closedMs = this.parts.clock.now() - startedAt;
 		const leader = await this.#findSuccessor(closed, reason);
 		if (leader === undefined) {
 			await pause(retryPauseMs);
@@ -148,18 +153,18 @@
 		}
 
 		const opened = await this.#writeTerm(closed.group, closed.revision, {term: leader.status.term, primaryId: leader.instance.id, phase: 'open'});
-		this.log.logState('promotion.ended', {
-			group: term.group, term: leader.status.term, primary: leader.instance.id, closedMs: Math.round(closedMs), durationMs: Math.round(this.clock.now() - startedAt), recorded: opened !== undefined,
+		this.parts.log.logState('promotion.ended', {
+			group: term.group, term: leader.status.term, primary: leader.instance.id, closedMs: Math.round(closedMs), durationMs: Math.round(this.parts.clock.now() - startedAt), recorded: opened !== undefined,
 		});
-		this.metrics.addCount('promotions');
+		this.parts.metrics.addCount('promotions');
 	}
 
 	async #waitUntilClosed(closed: GroupTerm): Promise<boolean> {
-		const closedAt = this.clock.now();
-		const result = await this.table.readSharedRows(statusTimeoutMs);
-		const registered = result.kind === 'ok' ? new Set(parseSharedRows(result.value, this.log).members.keys()) : undefined;
-		while (!this.coordinator.isClosed(closed.group, closed.revision, closedAt, registered ?? new Set(['an unknown VM']))) {
-			if (!this.duty.isHeld()) {
+		const closedAt = this.parts.clock.now();
+		const result = await this.parts.table.readSharedRows(statusTimeoutMs);
+		const registered = result.kind === 'ok' ? new Set(parseSharedRows(result.value, this.parts.log).members.keys()) : undefined;
+		while (!this.parts.coordinator.isClosed(closed.group, closed.revision, closedAt, registered ?? new Set(['an unknown VM']))) {
+			if (!this.parts.duty.isHeld()) {
 				return false;
 			}
 
@@ -171,7 +176,7 @@
 
 	/** Promotes the most advanced instance, or finds the one that leads already. */
 	async #findSuccessor(closed: GroupTerm, reason: PromotionReason): Promise<InstanceReading | undefined> {
-		const all = this.instances.getGroupInstances(closed.group);
+		const all = this.parts.instances.getGroupInstances(closed.group);
 		const readings = await this.#readAll(all);
 		const leader = findLeader(readings.filter(reading => reading.status.term > closed.term));
 		if (leader !== undefined) {
@@ -179,7 +184,7 @@
 		}
 
 		const former = readings.find(reading => reading.instance.id === closed.primaryId && reading.status.role === 'primary');
-		if (former !== undefined && former.instance.state === 'ready' && reason === 'resumed') {
+		if (former?.instance.state === 'ready' && reason === 'resumed') {
 			// The procedure was broken off before anything was promoted, and the former primary is well.
 			return former;
 		}
@@ -202,25 +207,27 @@
 	}
 
 	async #waitForCatchUp(candidate: InstanceReading, former: InstanceReading): Promise<void> {
-		const deadline = this.clock.now() + catchUpMs;
+		const deadline = this.parts.clock.now() + catchUpMs;
 		let reading: InstanceReading | undefined = candidate;
-		while (reading !== undefined && comparePositions(reading.status.position, former.status.position) < 0 && this.clock.now() < deadline) {
+		while (reading !== undefined && comparePositions(reading.status.position, former.status.position) < 0 && this.parts.clock.now() < deadline) {
 			await pause(pollMs);
 			reading = await this.#readStatus(candidate.instance);
 		}
 	}
 
 	async #promote(closed: GroupTerm, instance: Instance): Promise<InstanceReading | undefined> {
-		const deadline = this.clock.now() + takeEffectMs;
-		while (this.clock.now() < deadline) {
-			if (this.duty.getRemainingMs() < dutyReserveMs) {
+		const deadline = this.parts.clock.now() + takeEffectMs;
+		while (this.parts.clock.now() < deadline) {
+			if (this.parts.duty.getRemainingMs() < dutyReserveMs) {
 				return undefined;
 			}
 
-			const result = await this.service.promote({
-				group: closed.group, instanceId: instance.id, holder: this.vm, fencingToken: this.duty.token,
+			const result = await this.parts.service.promote({
+				group: closed.group, instanceId: instance.id, holder: this.parts.vm, fencingToken: this.parts.duty.token,
 			}, promoteTimeoutMs);
-			this.log.logState('promotion.ordered', {group: closed.group, instance: instance.id, token: this.duty.token, result});
+			this.parts.log.logState('promotion.ordered', {
+				group: closed.group, instance: instance.id, token: this.parts.duty.token, result,
+			});
 			if (result === 'rejected') {
 				return undefined;
 			}
@@ -236,7 +243,7 @@
 	}
 
 	async #waitUntilLeading(closed: GroupTerm, instance: Instance, deadline: number): Promise<InstanceReading | undefined> {
-		while (this.clock.now() < deadline) {
+		while (this.parts.clock.now() < deadline) {
 			const reading = await this.#readStatus(instance);
 			if (reading?.status.role === 'primary' && reading.status.term > closed.term) {
 				return reading;
@@ -249,14 +256,14 @@
 	}
 
 	async #writeTerm(group: string, revision: number, content: TermContent): Promise<GroupTerm | undefined> {
-		const version = await this.duty.writeRows([{key: getTermKey(group), expectedVersion: revision, value: JSON.stringify(content)}]);
+		const version = await this.parts.duty.writeRows([{key: getTermKey(group), expectedVersion: revision, value: JSON.stringify(content)}]);
 		if (version === undefined) {
 			return undefined;
 		}
 
 		const term = {group, ...content, revision: version};
-		this.terms.applyTerm(term);
-		this.coordinator.pushReports();
+		this.parts.terms.applyTerm(term);
+		this.parts.coordinator.pushReports();
 		return term;
 	}
 
@@ -266,7 +273,7 @@
 	}
 
 	async #readStatus(instance: Instance): Promise<InstanceReading | undefined> {
-		const result = await this.connector.open(instance, controlAccount, statusTimeoutMs);
+		const result = await this.parts.connector.open(instance, controlAccount, statusTimeoutMs);
 		if (result.kind === 'failed') {
 			return undefined;
 		}
--- a/packages/gateway/src/coordination/shared-rows.ts
+++ b/packages/gateway/src/coordination/shared-rows.ts
@@ -58,26 +58,33 @@
 	const terms = new Map<string, GroupTerm>();
 	for (const row of rows) {
 		const value = parseValue(row);
-		const report = (reason: string) => {
-			log.logState('row.unreadable', {key: row.key, reason});
-		};
-
 		if (row.key === dutyKey) {
-			dutyCodec.decode(value).ifRight(content => {
-				duty = {...content, version: row.version};
-			}).ifLeft(report);
+			const content = decodeRow(dutyCodec, row, value, log);
+			duty = content === undefined ? duty : {...content, version: row.version};
 		} else if (row.key.startsWith(memberPrefix)) {
 			const vm = row.key.slice(memberPrefix.length);
-			memberCodec.decode(value).ifRight(content => members.set(vm, {...content, vm, version: row.version})).ifLeft(report);
+			const content = decodeRow(memberCodec, row, value, log);
+			if (content !== undefined) {
+				members.set(vm, {...content, vm, version: row.version});
+			}
 		} else if (row.key.startsWith(termPrefix)) {
 			const group = row.key.slice(termPrefix.length);
-			termCodec.decode(value).ifRight(content => terms.set(group, {...content, group, revision: row.version})).ifLeft(report);
+			const content = decodeRow(termCodec, row, value, log);
+			if (content !== undefined) {
+				terms.set(group, {...content, group, revision: row.version});
+			}
 		}
 	}
 
 	return {duty, members, terms};
 }
 
+function decodeRow<T>(codec: Codec<T>, row: SharedRow, value: unknown, log: DecisionLog): T | undefined {
+	return codec.decode(value).ifLeft(reason => {
+		log.logState('row.unreadable', {key: row.key, reason});
+	}).toMaybe().extract();
+}
+
 function parseValue(row: SharedRow): unknown {
 	try {
 		return JSON.parse(row.value);
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -36,6 +36,16 @@
 
 const highestPriorities: readonly Priority[] = ['high', 'high', 'normal'];
 
+/** What a dispatcher works with. */
+export type DispatcherParts = {
+	readonly configuration: ConfigurationView;
+	readonly instances: InstanceRegistry;
+	readonly terms: TermRegistry;
+	readonly connector: InstanceConnector;
+	readonly clock: Clock;
+	readonly metrics: GatewayMetrics;
+};
+
 /** Finds a connection for each statement and transaction, in the order of priority and fairness. */
 export class Dispatcher {
 	readonly #pools = new Map<string, InstancePool>();
@@ -43,21 +53,14 @@
 	#members = 1;
 	#sweepTimer: NodeJS.Timeout | undefined;
 
-	constructor(
-		private readonly configuration: ConfigurationView,
-		private readonly instances: InstanceRegistry,
-		private readonly terms: TermRegistry,
-		private readonly connector: InstanceConnector,
-		private readonly clock: Clock,
-		private readonly metrics: GatewayMetrics,
-	) {
-		instances.onChanged((before, after) => {
+	constructor(private readonly parts: DispatcherParts) {
+		parts.instances.onChanged((before, after) => {
 			this.#observeInstance(before, after);
 		});
-		terms.onChanged(term => {
+		parts.terms.onChanged(term => {
 			this.#pump(term.group);
 		});
-		terms.onRegained(() => {
+		parts.terms.onRegained(() => {
 			this.#pumpAll();
 		});
 	}
@@ -86,10 +89,10 @@
 	/** Waits for a connection. */
 	async acquire(request: PlaceRequest): Promise<PlaceResult> {
 		return new Promise(resolve => {
-			const queuedAt = this.clock.now();
+			const queuedAt = this.parts.clock.now();
 			const waiter: Waiter = {
 				request, excluded: new Set(request.excluded), queuedAt, settle: result => {
-					this.metrics.recordDuration('place', this.clock.now() - queuedAt);
+					this.parts.metrics.recordDuration('place', this.parts.clock.now() - queuedAt);
 					resolve(result);
 				},
 			};
@@ -130,7 +133,11 @@
 
 	#pump(group: string): void {
 		const queue = this.#queues.get(group);
-		while (queue !== undefined && queue.size > 0) {
+		if (queue === undefined) {
+			return;
+		}
+
+		while (queue.size > 0) {
 			let candidate: Candidate | undefined;
 			const entry = queue.removeNext((waiting: QueueEntry<Waiter>) => {
 				candidate = this.#chooseCandidate(waiting.value);
@@ -158,7 +165,7 @@
 	async #open(waiter: Waiter, {pool, isPrimary}: Candidate, evicted: PooledConnection | undefined): Promise<void> {
 		const opened = await pool.open(waiter.request.account, evicted);
 		if (opened instanceof PooledConnection) {
-			if (this.clock.now() <= waiter.request.deadline) {
+			if (this.parts.clock.now() <= waiter.request.deadline) {
 				waiter.settle({kind: 'placed', place: {pool, connection: opened, isPrimary}});
 				return;
 			}
@@ -173,8 +180,8 @@
 	}
 
 	#chooseCandidate({request, excluded}: Waiter): Candidate | undefined {
-		const now = this.clock.now();
-		const primaryId = this.terms.getUsablePrimary(request.group);
+		const now = this.parts.clock.now();
+		const primaryId = this.parts.terms.getUsablePrimary(request.group);
 		if (request.target === 'primary') {
 			const pool = primaryId === undefined ? undefined : this.#pools.get(primaryId);
 			const choice = pool?.tracker.isUsable(now) === true ? pool.findChoice(request.account, this.#getLimit(pool.instance)) : undefined;
@@ -183,7 +190,7 @@
 
 		let best: Candidate | undefined;
 		let bestMs = Number.POSITIVE_INFINITY;
-		for (const instance of this.instances.getGroupInstances(request.group)) {
+		for (const instance of this.parts.instances.getGroupInstances(request.group)) {
 			const pool = this.#pools.get(instance.id);
 			const isPrimary = instance.id === primaryId;
 			if (pool === undefined || excluded.has(instance.id) || !this.#isReadable(instance, pool, request, now)) {
@@ -208,17 +215,17 @@
 			return false;
 		}
 
-		return this.terms.isUsablePrimary(request.group, instance.id) || (request.since !== undefined && pool.tracker.isLikelyToHold(request.since, now));
+		return this.parts.terms.isUsablePrimary(request.group, instance.id) || (request.since !== undefined && pool.tracker.isLikelyToHold(request.since, now));
 	}
 
 	#sweep(): void {
 		this.#sweepTimer = undefined;
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		for (const [group, queue] of this.#queues) {
 			for (const {value: waiter} of queue.removeExpired(now)) {
-				this.metrics.addCount('place_expired');
+				this.parts.metrics.addCount('place_expired');
 				const {request} = waiter;
-				const isPrimaryMissing = request.target === 'primary' && this.terms.getUsablePrimary(group) === undefined;
+				const isPrimaryMissing = request.target === 'primary' && this.parts.terms.getUsablePrimary(group) === undefined;
 				waiter.settle({kind: 'refused', refusal: isPrimaryMissing ? refusals.noPrimary(group) : refusals.overloaded(group, retryAfterMs)});
 			}
 
@@ -233,7 +240,7 @@
 	}
 
 	#getLimit(instance: Instance): number {
-		const total = this.configuration.getGroup(instance.group)?.maxConnections ?? 1;
+		const total = this.parts.configuration.getGroup(instance.group)?.maxConnections ?? 1;
 		return Math.max(1, Math.floor(total / this.#members));
 	}
 
@@ -245,7 +252,7 @@
 		}
 
 		if (after !== undefined && !this.#pools.has(after.id)) {
-			this.#pools.set(after.id, new InstancePool(after, this.connector, this.clock, this.metrics, () => {
+			this.#pools.set(after.id, new InstancePool(after, this.parts.connector, this.parts.clock, this.parts.metrics, () => {
 				this.#pump(after.group);
 			}));
 		}
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -64,7 +64,9 @@
 		const rejection: Refusal | undefined = refusal ?? session.open();
 		if (rejection !== undefined) {
 			this.services.metrics.addCount(`rejected_${rejection.kind}`);
-			this.services.log.logRefusal('session.rejected', {connection: identity.connectionId, database: identity.database, kind: rejection.kind, configuration: this.services.configuration.version});
+			this.services.log.logRefusal('session.rejected', {
+				connection: identity.connectionId, database: identity.database, kind: rejection.kind, configuration: this.services.configuration.version,
+			});
 			caller.rejectSession(rejection);
 			return undefined;
 		}
--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -1,4 +1,6 @@
-import {type BucketLimit, evenPart, getEvenShare, TokenBucket} from '@chicorysaddle/decisions';
+import {
+	type BucketLimit, evenPart, getEvenShare, TokenBucket,
+} from '@chicorysaddle/decisions';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Clock} from '../ports/index.js';
 
--- a/packages/gateway/src/observability/gateway-metrics.ts
+++ b/packages/gateway/src/observability/gateway-metrics.ts
@@ -30,7 +30,9 @@
 	recordDuration(duration: Duration, ms: number): void {
 		let histogram = this.#histograms.get(duration);
 		if (histogram === undefined) {
-			histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: longestUs, numberOfSignificantValueDigits: 1, bitBucketSize: 32});
+			histogram = build({
+				lowestDiscernibleValue: 1, highestTrackableValue: longestUs, numberOfSignificantValueDigits: 1, bitBucketSize: 32,
+			});
 			this.#histograms.set(duration, histogram);
 		}
 
--- a/packages/gateway/src/ports/coordination-table.ts
+++ b/packages/gateway/src/ports/coordination-table.ts
@@ -48,7 +48,5 @@
 /** A configuration, if there was one, and the store's version from which to go on waiting. */
 export type ConfigurationReading = {
 	readonly configuration: GatewayConfiguration | undefined;
-	/** Encoded form, for VMs that the store turns away. */
-	readonly encoded: string | undefined;
 	readonly storeVersion: number;
 };
--- a/packages/gateway/src/ports/instance-connector.ts
+++ b/packages/gateway/src/ports/instance-connector.ts
@@ -1,6 +1,8 @@
-import {type Instance} from '../instances/index.js';
-import {type OutgoingStatement, type InstanceErrorKind, type StatementOutcome, type InstanceStatus} from '../statements/index.js';
 import {type LogPosition} from '@chicorysaddle/model';
+import {type Instance} from '../instances/index.js';
+import {
+	type OutgoingStatement, type InstanceErrorKind, type StatementOutcome, type InstanceStatus,
+} from '../statements/index.js';
 
 /** A connection to an instance in the name of one client account. */
 export type InstanceConnection = {
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -321,9 +321,11 @@
 			return {kind: 'refused', refusal: refusals.overLimit(account, Math.ceil(waitMs)), isFinal: false};
 		}
 
-		return {kind: 'begun', operation: {
-			id: request.id, route, account, startedAt, session: this, lastCommit: this.#lastCommit,
-		}};
+		return {
+			kind: 'begun', operation: {
+				id: request.id, route, account, startedAt, session: this, lastCommit: this.#lastCommit,
+			},
+		};
 	}
 
 	#takeOperation(account: string): number {
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -157,10 +157,19 @@
 		}
 
 		this.#giveBack(false);
-		const refusal = result.kind === 'not-run'
-			? refusals.transactionAborted(result.reason)
-			: (this.#hasWritten ? (result.kind === 'lost' ? describeLoss(this.operation, result.reason) : result.refusal) : refusals.transactionAborted('it could not be committed'));
-		return {outcome: {kind: 'refused', refusal}, isOpen: false};
+		return {outcome: {kind: 'refused', refusal: this.#describeFailedCommit(result)}, isOpen: false};
+	}
+
+	#describeFailedCommit(result: Exclude<RunResult, {kind: 'completed'}>): Refusal {
+		if (result.kind === 'not-run') {
+			return refusals.transactionAborted(result.reason);
+		}
+
+		if (!this.#hasWritten) {
+			return refusals.transactionAborted('it could not be committed');
+		}
+
+		return result.kind === 'lost' ? describeLoss(this.operation, result.reason) : result.refusal;
 	}
 
 	#fail(refusal: Refusal): TransactionAnswer {
--- a/packages/gateway/src/statements/outcome.ts
+++ b/packages/gateway/src/statements/outcome.ts
@@ -1,5 +1,7 @@
 import {type LogPosition} from '@chicorysaddle/model';
-import {type SessionState, type Statement, type PreparedAccess, type TransactionAccess} from './statement.js';
+import {
+	type SessionState, type Statement, type PreparedAccess, type TransactionAccess,
+} from './statement.js';
 
 /** Why an instance did not do a statement. */
 export type InstanceErrorKind =
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -37,12 +37,18 @@
 	const instances = new InstanceRegistry(log);
 	const instanceKeeper = new InstanceKeeper(table, instances, clock, log);
 	const terms = new TermRegistry(clock, log, metrics);
-	const dispatcher = new Dispatcher(configuration, instances, terms, connector, clock, metrics);
+	const dispatcher = new Dispatcher({
+		configuration, instances, terms, connector, clock, metrics,
+	});
 	const limiter = new AccountLimiter(configuration, clock);
 	const duty = new DutyKeeper(table, identity, clock, log);
 	const coordinator = new Coordinator(identity.vm, duty, terms, configuration, clock);
-	const promoter = new Promoter(identity.vm, duty, coordinator, terms, instances, configuration, dispatcher, table, connector, promotion, clock, log, metrics);
-	const member = new ClusterMember(identity, duty, coordinator, promoter, terms, configuration, configurationKeeper, dispatcher, limiter, table, clock, log);
+	const promoter = new Promoter({
+		vm: identity.vm, duty, coordinator, terms, instances, configuration, dispatcher, table, connector, service: promotion, clock, log, metrics,
+	});
+	const member = new ClusterMember({
+		identity, duty, coordinator, promoter, terms, configuration, keeper: configurationKeeper, dispatcher, limiter, table, clock, log,
+	});
 	const services: SessionServices = {
 		configuration, dispatcher, limiter, terms, clock, log, metrics,
 	};
--- a/packages/protocol/src/coordination/messages.ts
+++ b/packages/protocol/src/coordination/messages.ts
@@ -98,7 +98,7 @@
  */
 export function parsePeerMessage(text: string): PeerMessage | {readonly kind: 'invalid'; readonly reason: string} {
 	try {
-		const value = JSON.parse(text) as {kind?: unknown} | null;
+		const value = JSON.parse(text) as {kind?: unknown} | undefined;
 		const codec = codecs[String(value?.kind)];
 		return codec === undefined
 			? {kind: 'invalid', reason: `unknown kind "${String(value?.kind)}"`}
