Dispatcher: a waiting statement takes any connection that is free first

Ruled out: a cut of the replicas alone; the instances were answering late. Change: openings serve whoever is first; another account's connection is closed only after 60 ms of waiting.

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -2,22 +2,29 @@
 import {refusals} from '@chicorysaddle/model';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Instance, type InstanceRegistry} from '../instances/index.js';
-import {type GatewayMetrics} from '../observability/index.js';
+import {type DecisionLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock, type InstanceConnector} from '../ports/index.js';
 import {type TermRegistry} from '../terms/index.js';
-import {InstancePool, type PoolChoice} from './instance-pool.js';
+import {InstancePool} from './instance-pool.js';
 import {type InstanceTracker} from './instance-tracker.js';
-import {PooledConnection} from './pooled-connection.js';
+import {type PooledConnection} from './pooled-connection.js';
 import {type Place, type PlaceRequest, type PlaceResult} from './place-request.js';
 
 type Waiter = {
 	readonly request: PlaceRequest;
 	readonly excluded: Set<string>;
 	readonly queuedAt: number;
+	/** Whether a connection is being opened on its behalf; any other that is free first serves it as well. */
+	isOpening: boolean;
 	readonly settle: (result: PlaceResult) => void;
 };
 
-type Candidate = {readonly pool: InstancePool; readonly choice: PoolChoice; readonly isPrimary: boolean};
+type Candidate = {
+	readonly pool: InstancePool;
+	/** Absent when a connection has to be opened. */
+	readonly idle: PooledConnection | undefined;
+	readonly isPrimary: boolean;
+};
 
 /** Interval at which waiting requests are looked through for passed deadlines, milliseconds. */
 const sweepMs = 20;
@@ -25,6 +32,9 @@
 /** Cost of a new connection beside a warm one, milliseconds: the handshake that a deployment states. */
 const openCostMs = 14;
 
+/** Time for which an account waits for a connection before another account's is closed while that is in use, milliseconds: a few handshakes. */
+const patienceMs = 60;
+
 /** Factor on the estimate of a primary, which alone can take writes. */
 const primaryReadFactor = 1.5;
 
@@ -44,12 +54,16 @@
 	readonly connector: InstanceConnector;
 	readonly clock: Clock;
 	readonly metrics: GatewayMetrics;
+	readonly log: DecisionLog;
 };
 
 /** Finds a connection for each statement and transaction, in the order of priority and fairness. */
 export class Dispatcher {
 	readonly #pools = new Map<string, InstancePool>();
 	readonly #queues = new Map<string, FairQueue<Waiter>>();
+	readonly #waiting = new Map<string, Set<Waiter>>();
+	/** Groups that are looked through now, with whether to look again. */
+	readonly #pumping = new Map<string, boolean>();
 	#members = 1;
 	#sweepTimer: NodeJS.Timeout | undefined;
 
@@ -77,6 +91,11 @@
 		return this.#pools.get(instanceId)?.tracker;
 	}
 
+	/** Describes connections and their use by instance, for the log. */
+	describePools(): string {
+		return [...this.#pools.values()].map(pool => `${pool.instance.id}:${pool.busyCount}/${pool.connectionCount}`).join(' ');
+	}
+
 	countWaiting(): number {
 		let count = 0;
 		for (const queue of this.#queues.values()) {
@@ -91,7 +110,8 @@
 		return new Promise(resolve => {
 			const queuedAt = this.parts.clock.now();
 			const waiter: Waiter = {
-				request, excluded: new Set(request.excluded), queuedAt, settle: result => {
+				request, excluded: new Set(request.excluded), queuedAt, isOpening: false, settle: result => {
+					this.#waiting.get(request.group)?.delete(waiter);
 					this.parts.metrics.recordDuration('place', this.parts.clock.now() - queuedAt);
 					resolve(result);
 				},
@@ -115,8 +135,10 @@
 		if (queue === undefined) {
 			queue = new FairQueue<Waiter>();
 			this.#queues.set(request.group, queue);
+			this.#waiting.set(request.group, new Set());
 		}
 
+		this.#waiting.get(request.group)!.add(waiter);
 		queue.addEntry({
 			account: request.account, priority: highestPriorities[request.priority] ?? 'low', weight: 1, deadline: request.deadline, value: waiter,
 		});
@@ -131,7 +153,22 @@
 		}
 	}
 
+	/** Places what can be placed; connections that are closed meanwhile make it look again instead of nesting. */
 	#pump(group: string): void {
+		if (this.#pumping.has(group)) {
+			this.#pumping.set(group, true);
+			return;
+		}
+
+		do {
+			this.#pumping.set(group, false);
+			this.#placeWaiting(group);
+		} while (this.#pumping.get(group));
+
+		this.#pumping.delete(group);
+	}
+
+	#placeWaiting(group: string): void {
 		const queue = this.#queues.get(group);
 		if (queue === undefined) {
 			return;
@@ -139,53 +176,56 @@
 
 		while (queue.size > 0) {
 			let candidate: Candidate | undefined;
-			const entry = queue.removeNext((waiting: QueueEntry<Waiter>) => {
-				candidate = this.#chooseCandidate(waiting.value);
-				return candidate !== undefined;
+			const entry = queue.removeNext(({value: waiter}: QueueEntry<Waiter>) => {
+				candidate = this.#chooseCandidate(waiter, this.parts.clock.now() - waiter.queuedAt >= patienceMs);
+				if (candidate !== undefined && candidate.idle === undefined) {
+					this.#startOpening(waiter, candidate.pool);
+				}
+
+				return candidate?.idle !== undefined;
 			});
-			if (entry === undefined || candidate === undefined) {
-				return;
+			if (entry === undefined || candidate?.idle === undefined) {
+				break;
 			}
 
-			this.#place(entry.value, candidate);
+			const {pool, idle, isPrimary} = candidate;
+			pool.take(idle);
+			entry.value.settle({kind: 'placed', place: {pool, connection: idle, isPrimary}});
 		}
-	}
 
-	#place(waiter: Waiter, candidate: Candidate): void {
-		const {pool, choice, isPrimary} = candidate;
-		if (choice.kind === 'idle') {
-			pool.take(choice.connection);
-			waiter.settle({kind: 'placed', place: {pool, connection: choice.connection, isPrimary}});
-			return;
+		// Nobody can use what is idle now, so that it may make room.
+		for (const waiter of this.#waiting.get(group)!) {
+			const candidate = this.#chooseCandidate(waiter, true);
+			if (candidate !== undefined && candidate.idle === undefined) {
+				this.#startOpening(waiter, candidate.pool);
+			}
 		}
-
-		void this.#open(waiter, candidate, choice.evicted);
 	}
 
-	async #open(waiter: Waiter, {pool, isPrimary}: Candidate, evicted: PooledConnection | undefined): Promise<void> {
-		const opened = await pool.open(waiter.request.account, evicted);
-		if (opened instanceof PooledConnection) {
-			if (this.parts.clock.now() <= waiter.request.deadline) {
-				waiter.settle({kind: 'placed', place: {pool, connection: opened, isPrimary}});
-				return;
-			}
+	#startOpening(waiter: Waiter, pool: InstancePool): void {
+		if (!waiter.isOpening) {
+			waiter.isOpening = true;
+			void this.#open(waiter, pool);
+		}
+	}
 
-			pool.release(opened, true);
-		} else if (!isPrimary && opened.reason !== 'connection-limit' && opened.reason !== 'busy') {
+	async #open(waiter: Waiter, pool: InstancePool): Promise<void> {
+		const failure = await pool.open(waiter.request.account, this.#getLimit(pool.instance));
+		waiter.isOpening = false;
+		if (failure !== undefined && waiter.request.target === 'any' && failure.reason !== 'connection-limit' && failure.reason !== 'busy') {
 			waiter.excluded.add(pool.instance.id);
 		}
 
-		this.#enqueue(waiter);
 		this.#pump(waiter.request.group);
 	}
 
-	#chooseCandidate({request, excluded}: Waiter): Candidate | undefined {
+	#chooseCandidate(waiter: Waiter, mayEvict: boolean): Candidate | undefined {
+		const {request, excluded} = waiter;
 		const now = this.parts.clock.now();
 		const primaryId = this.parts.terms.getUsablePrimary(request.group);
 		if (request.target === 'primary') {
 			const pool = primaryId === undefined ? undefined : this.#pools.get(primaryId);
-			const choice = pool?.tracker.isUsable(now) === true ? pool.findChoice(request.account, this.#getLimit(pool.instance)) : undefined;
-			return pool === undefined || choice === undefined ? undefined : {pool, choice, isPrimary: true};
+			return pool?.tracker.isUsable(now) === true ? this.#findWay(pool, waiter, mayEvict, true) : undefined;
 		}
 
 		let best: Candidate | undefined;
@@ -197,12 +237,12 @@
 				continue;
 			}
 
-			const choice = pool.findChoice(request.account, this.#getLimit(instance));
-			if (choice !== undefined) {
-				const costMs = (pool.tracker.estimateMs(pool.busyCount, now) * (isPrimary ? primaryReadFactor : 1)) + (choice.kind === 'open' ? openCostMs : 0);
+			const candidate = this.#findWay(pool, waiter, mayEvict, isPrimary);
+			if (candidate !== undefined) {
+				const costMs = (pool.tracker.estimateMs(pool.busyCount, now) * (isPrimary ? primaryReadFactor : 1)) + (candidate.idle === undefined ? openCostMs : 0);
 				if (costMs < bestMs) {
 					bestMs = costMs;
-					best = {pool, choice, isPrimary};
+					best = candidate;
 				}
 			}
 		}
@@ -210,6 +250,12 @@
 		return best;
 	}
 
+	#findWay(pool: InstancePool, {request, isOpening}: Waiter, mayEvict: boolean, isPrimary: boolean): Candidate | undefined {
+		const idle = pool.findIdle(request.account);
+		const isPossible = idle !== undefined || (!isOpening && pool.canOpen(this.#getLimit(pool.instance), mayEvict));
+		return isPossible ? {pool, idle, isPrimary} : undefined;
+	}
+
 	#isReadable(instance: Instance, pool: InstancePool, request: PlaceRequest, now: number): boolean {
 		if (instance.state === 'draining' || !pool.tracker.isUsable(now)) {
 			return false;
@@ -252,8 +298,10 @@
 		}
 
 		if (after !== undefined && !this.#pools.has(after.id)) {
-			this.#pools.set(after.id, new InstancePool(after, this.parts.connector, this.parts.clock, this.parts.metrics, () => {
-				this.#pump(after.group);
+			this.#pools.set(after.id, new InstancePool(after, {
+				...this.parts, onFreed: () => {
+					this.#pump(after.group);
+				},
 			}));
 		}
 
--- a/packages/gateway/src/dispatch/instance-pool.ts
+++ b/packages/gateway/src/dispatch/instance-pool.ts
@@ -1,19 +1,24 @@
 import {type Instance} from '../instances/index.js';
 import {type Clock, type ConnectFailure, type InstanceConnector} from '../ports/index.js';
-import {type GatewayMetrics} from '../observability/index.js';
+import {type DecisionLog, type GatewayMetrics} from '../observability/index.js';
 import {InstanceTracker} from './instance-tracker.js';
 import {PooledConnection} from './pooled-connection.js';
 
-/** Time within which a connection has to be open, milliseconds: several handshakes and a full queue of one slot. */
-const connectTimeoutMs = 700;
+/** Time within which a connection has to be open, milliseconds: a handshake behind a full queue at a busy instance. */
+const connectTimeoutMs = 1500;
 
 /** Time for which a pool that met the instance's limit opens nothing, milliseconds. */
 const limitHoldMs = 60;
 
-/** A way to get a connection in a pool. */
-export type PoolChoice =
-	| {readonly kind: 'idle'; readonly connection: PooledConnection}
-	| {readonly kind: 'open'; readonly evicted: PooledConnection | undefined};
+/** What a pool works with. */
+export type InstancePoolParts = {
+	readonly connector: InstanceConnector;
+	readonly clock: Clock;
+	readonly metrics: GatewayMetrics;
+	readonly log: DecisionLog;
+	/** Called when a connection is free again, or gone. */
+	readonly onFreed: () => void;
+};
 
 /** Connections of this VM to one instance. */
 export class InstancePool {
@@ -22,14 +27,8 @@
 	#opening = 0;
 	#isClosed = false;
 
-	constructor(
-		readonly instance: Instance,
-		private readonly connector: InstanceConnector,
-		private readonly clock: Clock,
-		private readonly metrics: GatewayMetrics,
-		private readonly onFreed: () => void,
-	) {
-		this.tracker = new InstanceTracker(instance);
+	constructor(readonly instance: Instance, private readonly parts: InstancePoolParts) {
+		this.tracker = new InstanceTracker(instance, parts.log);
 	}
 
 	/** Statements and transactions that hold a connection. */
@@ -46,34 +45,25 @@
 		return this.#connections.size + this.#opening;
 	}
 
-	/**
-	 * Finds a way to a connection for an account.
-	 * @param limit - Connections that this VM may have here.
-	 */
-	findChoice(account: string, limit: number): PoolChoice | undefined {
-		let oldest: PooledConnection | undefined;
+	/** Returns the idle connection of an account that was used last. */
+	findIdle(account: string): PooledConnection | undefined {
 		let newest: PooledConnection | undefined;
 		for (const connection of this.#connections) {
-			if (connection.isBusy) {
-				continue;
-			}
-
-			if (connection.account === account) {
-				newest = newest === undefined || connection.usedAt > newest.usedAt ? connection : newest;
-			} else {
-				oldest = oldest === undefined || connection.usedAt < oldest.usedAt ? connection : oldest;
+			if (!connection.isBusy && connection.account === account && (newest === undefined || connection.usedAt > newest.usedAt)) {
+				newest = connection;
 			}
 		}
 
-		if (newest !== undefined) {
-			return {kind: 'idle', connection: newest};
-		}
-
-		if (this.connectionCount < limit) {
-			return {kind: 'open', evicted: undefined};
-		}
+		return newest;
+	}
 
-		return oldest === undefined ? undefined : {kind: 'open', evicted: oldest};
+	/**
+	 * Says whether a connection may be opened now.
+	 * @param limit - Connections that this VM may have here.
+	 * @param mayEvict - Whether an idle connection of another account may make room for it.
+	 */
+	canOpen(limit: number, mayEvict: boolean): boolean {
+		return this.connectionCount < limit || (mayEvict && this.#findEvictable() !== undefined);
 	}
 
 	take(connection: PooledConnection): void {
@@ -81,26 +71,28 @@
 	}
 
 	/**
-	 * Opens a connection and takes it.
-	 * @param evicted - Idle connection that makes room for it.
+	 * Opens a connection that is idle then.
+	 * @param limit - Connections that this VM may have here; at the limit the one that was idle longest makes room.
+	 * @returns Why there is none, undefined when it is open.
 	 */
-	async open(account: string, evicted: PooledConnection | undefined): Promise<PooledConnection | ConnectFailure> {
+	async open(account: string, limit: number): Promise<ConnectFailure | undefined> {
+		const evicted = this.connectionCount < limit ? undefined : this.#findEvictable();
 		if (evicted !== undefined) {
 			this.#remove(evicted);
 			evicted.connection.close();
 		}
 
 		this.#opening += 1;
-		const startedAt = this.clock.now();
-		const result = await this.connector.open(this.instance, account, connectTimeoutMs);
+		const startedAt = this.parts.clock.now();
+		const result = await this.parts.connector.open(this.instance, account, connectTimeoutMs);
 		this.#opening -= 1;
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		if (result.kind === 'failed') {
 			this.#observeFailure(result.failure, startedAt, now);
 			return result.failure;
 		}
 
-		this.metrics.recordDuration('connect', now - startedAt);
+		this.parts.metrics.recordDuration('connect', now - startedAt);
 		this.tracker.observeAnswer(now);
 		if (this.#isClosed) {
 			result.connection.close();
@@ -108,30 +100,30 @@
 		}
 
 		const connection = new PooledConnection(result.connection, account);
-		connection.isBusy = true;
+		connection.usedAt = now;
 		this.#connections.add(connection);
 		result.connection.onClosed(() => {
 			this.#remove(connection);
-			this.onFreed();
+			this.parts.onFreed();
 		});
-		return connection;
+		return undefined;
 	}
 
 	/** Gives a connection back, or closes it when its state is not known. */
 	release(connection: PooledConnection, isClean: boolean): void {
 		connection.isBusy = false;
-		connection.usedAt = this.clock.now();
+		connection.usedAt = this.parts.clock.now();
 		if (!isClean || this.#isClosed || !connection.connection.isOpen) {
 			this.#remove(connection);
 			connection.connection.close();
 		}
 
-		this.onFreed();
+		this.parts.onFreed();
 	}
 
 	/** Closes idle connections beyond a limit, and those that were not used for a while. */
 	trim(limit: number, idleMs: number): void {
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		for (const connection of this.#connections) {
 			if (!connection.isBusy && (now - connection.usedAt > idleMs || this.connectionCount > limit)) {
 				this.#remove(connection);
@@ -159,12 +151,23 @@
 		}
 	}
 
+	#findEvictable(): PooledConnection | undefined {
+		let oldest: PooledConnection | undefined;
+		for (const connection of this.#connections) {
+			if (!connection.isBusy && (oldest === undefined || connection.usedAt < oldest.usedAt)) {
+				oldest = connection;
+			}
+		}
+
+		return oldest;
+	}
+
 	#remove(connection: PooledConnection): void {
 		this.#connections.delete(connection);
 	}
 
 	#observeFailure(failure: ConnectFailure, startedAt: number, now: number): void {
-		this.metrics.addCount(`connect_failed_${failure.reason}`);
+		this.parts.metrics.addCount(`connect_failed_${failure.reason}`);
 		if (failure.reason === 'connection-limit' || failure.reason === 'busy') {
 			this.tracker.observeAnswer(now);
 			this.tracker.hold(now + limitHoldMs);
--- a/packages/gateway/src/dispatch/instance-tracker.ts
+++ b/packages/gateway/src/dispatch/instance-tracker.ts
@@ -1,6 +1,7 @@
 import {type PrimaryEvidence} from '@chicorysaddle/decisions';
 import {isAtLeast, type LogPosition} from '@chicorysaddle/model';
 import {type Instance} from '../instances/index.js';
+import {type DecisionLog} from '../observability/index.js';
 import {type InstanceErrorKind, type StatementOutcome} from '../statements/index.js';
 
 /** Service time that is assumed of an instance before one was measured, milliseconds. */
@@ -34,7 +35,7 @@
 	#isRefused = false;
 	#heldUntil = 0;
 
-	constructor(readonly instance: Instance) {}
+	constructor(readonly instance: Instance, private readonly log: DecisionLog) {}
 
 	get failingSince(): number | undefined {
 		return this.#failingSince;
@@ -46,6 +47,10 @@
 
 	/** Takes in any answer. */
 	observeAnswer(now: number): void {
+		if (this.#failingSince !== undefined) {
+			this.log.logState('instance.regained', {instance: this.instance.id, group: this.instance.group, failedMs: Math.round(now - this.#failingSince)});
+		}
+
 		this.#answeredAt = now;
 		this.#failingSince = undefined;
 		this.#isRefused = false;
@@ -85,7 +90,13 @@
 			return;
 		}
 
-		this.#failingSince ??= kind === 'silent' ? since : now;
+		if (this.#failingSince === undefined) {
+			this.#failingSince = kind === 'silent' ? since : now;
+			this.log.logState('instance.lost', {
+				instance: this.instance.id, group: this.instance.group, how: kind, answeredAgoMs: this.#answeredAt === undefined ? undefined : Math.round(now - this.#answeredAt),
+			});
+		}
+
 		this.#isRefused = kind === 'refused';
 		this.#failedAt = now;
 	}
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -19,6 +19,9 @@
 /** Interval at which a shutdown looks whether it is done, milliseconds. */
 const drainPollMs = 25;
 
+/** Interval of the lines that sum up what was done, milliseconds. */
+const summaryMs = 2000;
+
 /** Time that is kept back at the end of the grace time, milliseconds. */
 const exitReserveMs = 500;
 
@@ -53,6 +56,12 @@
 		void this.configurationKeeper.run();
 		void this.instanceKeeper.run();
 		await this.member.start();
+		setInterval(() => {
+			const {metrics, dispatcher, log} = this.services;
+			log.logState('summary', {
+				...metrics.takeGains(), sessions: this.#sessions.size, waiting: dispatcher.countWaiting(), connections: dispatcher.describePools(),
+			});
+		}, summaryMs).unref();
 	}
 
 	/** Opens a session for a caller, or rejects it. */
--- a/packages/gateway/src/observability/gateway-metrics.ts
+++ b/packages/gateway/src/observability/gateway-metrics.ts
@@ -11,6 +11,7 @@
 /** Counters, gauges and durations of a gateway. */
 export class GatewayMetrics {
 	readonly #counters = new Map<string, number>();
+	readonly #reported = new Map<string, number>();
 	readonly #gauges = new Map<string, () => number>();
 	readonly #histograms = new Map<Duration, Histogram>();
 
@@ -22,6 +23,20 @@
 		return this.#counters.get(name) ?? 0;
 	}
 
+	/** Returns what the counters gained since the last call. */
+	takeGains(): Record<string, number> {
+		const gains: Record<string, number> = {};
+		for (const [name, value] of this.#counters) {
+			const gain = value - (this.#reported.get(name) ?? 0);
+			this.#reported.set(name, value);
+			if (gain > 0) {
+				gains[name] = gain;
+			}
+		}
+
+		return gains;
+	}
+
 	/** Adds a value that is read when the metrics are. */
 	addGauge(name: string, read: () => number): void {
 		this.#gauges.set(name, read);
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -38,7 +38,7 @@
 	const instanceKeeper = new InstanceKeeper(table, instances, clock, log);
 	const terms = new TermRegistry(clock, log, metrics);
 	const dispatcher = new Dispatcher({
-		configuration, instances, terms, connector, clock, metrics,
+		configuration, instances, terms, connector, clock, metrics, log,
 	});
 	const limiter = new AccountLimiter(configuration, clock);
 	const duty = new DutyKeeper(table, identity, clock, log);
