Limits: operations are admitted by tokens from the coordinator's one bucket an account

Ruled out: too few slots (instances idle). Change: a VM asks for tokens when its own are used up, ahead of need while the bucket is more than half full; without a coordinator it goes on at its former pace, which the coordinator keeps back. Instances and configuration are told by the coordinator; two other VMs follow the store as well.

--- a/packages/decisions/src/limits/index.ts
+++ b/packages/decisions/src/limits/index.ts
@@ -3,4 +3,4 @@
 export * from './share-holder.js';
 export * from './admission-control.js';
 export * from './token-bucket.js';
-export * from './divide-limit.js';
+export * from './token-issuer.js';
--- a/packages/decisions/src/limits/token-bucket.ts
+++ b/packages/decisions/src/limits/token-bucket.ts
@@ -42,6 +42,12 @@
 		return true;
 	}
 
+	/** Returns the part of the burst that is there. */
+	getFill(now: number): number {
+		this.#refill(now);
+		return this.limit.burst <= 0 ? 0 : this.#tokens / this.limit.burst;
+	}
+
 	/** Returns the time until a token is there, milliseconds. */
 	getWaitMs(now: number): number {
 		this.#refill(now);
--- a/packages/gateway/src/configuration/configuration-keeper.ts
+++ b/packages/gateway/src/configuration/configuration-keeper.ts
@@ -19,6 +19,8 @@
 	#storeVersion: number | undefined;
 	#isStopped = false;
 	#isStoreAway = false;
+	#isFollowing = true;
+	#wake: (() => void) | undefined;
 	readonly #listeners: Array<(configuration: GatewayConfiguration) => void> = [];
 
 	constructor(private readonly table: CoordinationTable, private readonly view: ConfigurationView, private readonly log: DecisionLog) {}
@@ -37,6 +39,7 @@
 	/** Reads and follows the configuration until it is stopped. */
 	async run(): Promise<void> {
 		while (!this.#isStopped) {
+			await this.#waitForTurn();
 			const result = await this.#read();
 			if (result.kind === 'ok') {
 				this.#observeStore(true, '');
@@ -55,6 +58,15 @@
 
 	stop(): void {
 		this.#isStopped = true;
+		this.#wake?.();
+	}
+
+	/** Sets whether this VM reads the store itself; others tell it of new versions otherwise. */
+	setFollowing(isFollowing: boolean): void {
+		this.#isFollowing = isFollowing;
+		if (isFollowing) {
+			this.#wake?.();
+		}
 	}
 
 	/**
@@ -69,6 +81,14 @@
 		});
 	}
 
+	async #waitForTurn(): Promise<void> {
+		while (!this.#isFollowing && !this.#isStopped) {
+			await new Promise<void>(resolve => {
+				this.#wake = resolve;
+			});
+		}
+	}
+
 	async #read(): Promise<StoreResult<ConfigurationReading>> {
 		return this.#storeVersion === undefined
 			? this.table.readConfiguration(callTimeoutMs)
--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -1,10 +1,11 @@
 import {type Server} from 'node:net';
 import {type Moment} from '@chicorysaddle/decisions';
 import {
-	type Heartbeat, type PeerMessage, type Report, type parsePeerMessage,
+	type Heartbeat, type parsePeerMessage, type PeerMessage, type Report, type TokenGrants, type TokenWants,
 } from '@chicorysaddle/protocol/coordination';
 import {type ConfigurationKeeper, type ConfigurationView} from '../configuration/index.js';
 import {type Dispatcher} from '../dispatch/index.js';
+import {type InstanceKeeper, type InstanceRegistry} from '../instances/index.js';
 import {type AccountLimiter} from '../limits/index.js';
 import {type DecisionLog} from '../observability/index.js';
 import {type Clock, type CoordinationTable} from '../ports/index.js';
@@ -35,6 +36,9 @@
 /** Interval at which the store is asked while no coordinator answers, milliseconds. */
 const storePollMs = 400;
 
+/** Time for an answer about tokens, milliseconds: several round trips within a region. */
+const tokenTimeoutMs = 150;
+
 /** Time for a call to the store, milliseconds. */
 const callTimeoutMs = 800;
 
@@ -55,6 +59,8 @@
 	readonly terms: TermRegistry;
 	readonly configuration: ConfigurationView;
 	readonly keeper: ConfigurationKeeper;
+	readonly instances: InstanceRegistry;
+	readonly instanceKeeper: InstanceKeeper;
 	readonly dispatcher: Dispatcher;
 	readonly limiter: AccountLimiter;
 	readonly table: CoordinationTable;
@@ -81,11 +87,27 @@
 	#isPolling = false;
 	#checkedMembersAt = 0;
 	#isUrgent = false;
+	#isPushDue = false;
+	#instanceRevision: string | undefined;
+	#tokenSequence = 0;
+	readonly #tokenRequests = new Map<number, (grants: TokenGrants) => void>();
 
 	constructor(private readonly parts: ClusterMemberParts) {
 		parts.terms.onChanged(() => {
 			this.#isUrgent = true;
 		});
+		parts.limiter.setChannel(async wants => this.#requestTokens(wants));
+		parts.keeper.onApplied(() => {
+			if (parts.duty.isHeld()) {
+				parts.coordinator.pushReports();
+			}
+		});
+		parts.instances.onChanged(() => {
+			if (parts.duty.isHeld()) {
+				parts.coordinator.setInstances([...parts.instances.getAll()], parts.clock.now());
+				this.#isPushDue = true;
+			}
+		});
 	}
 
 	async start(): Promise<void> {
@@ -128,6 +150,13 @@
 		}
 
 		this.#sendHeartbeat(now);
+		const isAlone = now - this.#answeredAt > coordinatorSilentMs;
+		this.parts.instanceKeeper.setReading(isAlone);
+		if (isAlone) {
+			this.#instanceRevision = undefined;
+			this.parts.keeper.setFollowing(true);
+		}
+
 		if (now - this.#answeredAt > coordinatorSilentMs && now - this.#polledAt > storePollMs && !this.#isPolling) {
 			void this.#pollStore();
 		}
@@ -136,10 +165,17 @@
 	#coordinate(now: number): void {
 		this.#link?.close();
 		this.#link = undefined;
+		this.parts.instanceKeeper.setReading(true);
+		this.parts.keeper.setFollowing(true);
 		this.parts.terms.confirm(this.parts.terms.getMoment());
 		if (now - this.#sentAt >= heartbeatMs) {
 			this.#sentAt = now;
-			this.#applyShares(this.parts.coordinator.receiveHeartbeat(this.#createHeartbeat(), undefined), now);
+			this.#applyReport(this.parts.coordinator.receiveHeartbeat(this.#createHeartbeat(), undefined));
+		}
+
+		if (this.#isPushDue) {
+			this.#isPushDue = false;
+			this.parts.coordinator.pushReports();
 		}
 
 		void this.parts.duty.renew();
@@ -231,11 +267,11 @@
 			vm: this.parts.identity.vm,
 			incarnation: this.parts.identity.incarnation,
 			sequence: this.#sequence,
-			demands: this.parts.limiter.measureDemands(),
 			positions,
 			evidence,
 			revisions,
 			configurationVersion: this.parts.configuration.version,
+			instanceRevision: this.#instanceRevision,
 			echo: this.#echo === undefined ? undefined : {stampMs: this.#echo.stampMs, ageMs: now - this.#echo.receivedAt},
 		};
 	}
@@ -243,16 +279,24 @@
 	#receiveFromPeer(link: PeerLink, message: ReturnType<typeof parsePeerMessage>): void {
 		switch (message.kind) {
 			case 'heartbeat': {
-				link.send(this.parts.duty.isHeld() ? this.parts.coordinator.receiveHeartbeat(message, link) : {kind: 'not-coordinator'});
+				this.#receiveHeartbeat(link, message);
 				return;
 			}
 
-			case 'configuration-request': {
-				const {encoded} = this.parts.keeper;
-				if (encoded !== undefined) {
-					link.send({kind: 'configuration-reply', version: this.parts.configuration.version, encoded});
-				}
+			case 'token-request': {
+				link.send(this.parts.duty.isHeld()
+					? {kind: 'token-grant', sequence: message.sequence, grants: this.parts.coordinator.issueTokens(message.vm, message.wants)}
+					: {kind: 'not-coordinator'});
+				return;
+			}
 
+			case 'configuration-reply': {
+				this.parts.keeper.applyEncoded(message.encoded, 'peer');
+				return;
+			}
+
+			case 'configuration-request': {
+				this.#sendConfiguration(link);
 				return;
 			}
 
@@ -262,14 +306,33 @@
 				return;
 			}
 
-			case 'configuration-reply':
 			case 'not-coordinator':
-			case 'report': {
+			case 'report':
+			case 'token-grant': {
 				this.parts.log.logState('peer.unexpected', {message: message.kind});
 			}
 		}
 	}
 
+	#receiveHeartbeat(link: PeerLink, heartbeat: Heartbeat): void {
+		if (!this.parts.duty.isHeld()) {
+			link.send({kind: 'not-coordinator'});
+			return;
+		}
+
+		link.send(this.parts.coordinator.receiveHeartbeat(heartbeat, link));
+		if (heartbeat.configurationVersion > this.parts.configuration.version) {
+			link.send({kind: 'configuration-request'});
+		}
+	}
+
+	#sendConfiguration(link: PeerLink | undefined): void {
+		const {encoded} = this.parts.keeper;
+		if (encoded !== undefined) {
+			link?.send({kind: 'configuration-reply', version: this.parts.configuration.version, encoded});
+		}
+	}
+
 	#receiveFromCoordinator(message: ReturnType<typeof parsePeerMessage>): void {
 		switch (message.kind) {
 			case 'report': {
@@ -287,9 +350,19 @@
 				return;
 			}
 
-			case 'configuration-request':
+			case 'token-grant': {
+				this.#tokenRequests.get(message.sequence)?.(message.grants);
+				return;
+			}
+
+			case 'configuration-request': {
+				this.#sendConfiguration(this.#link);
+				return;
+			}
+
 			case 'heartbeat':
-			case 'invalid': {
+			case 'invalid':
+			case 'token-request': {
 				this.parts.log.logState('peer.unexpected', {message: message.kind});
 			}
 		}
@@ -297,7 +370,7 @@
 
 	#receiveReport(report: Report): void {
 		const now = this.parts.clock.now();
-		for (const term of report.terms) {
+		for (const term of report.terms ?? []) {
 			this.parts.terms.applyTerm(term);
 		}
 
@@ -307,6 +380,7 @@
 			this.#link?.send({kind: 'configuration-request'} satisfies PeerMessage);
 		}
 
+		this.#applyReport(report);
 		const sent = this.#sent.find(heartbeat => heartbeat.sequence === report.sequence);
 		if (sent === undefined) {
 			return;
@@ -317,14 +391,44 @@
 		for (const [group, {position, ageMs}] of Object.entries(report.positions)) {
 			this.parts.terms.observePosition(group, position, sent.at.steady - ageMs);
 		}
-
-		this.#applyShares(report, sent.at.steady);
 	}
 
-	#applyShares(report: Report, at: number): void {
+	#applyReport(report: Report): void {
 		this.parts.limiter.setMembers(report.members);
 		this.parts.dispatcher.setMembers(report.members);
-		this.parts.limiter.applyShares(report.shares, at);
+		this.parts.keeper.setFollowing(report.isFollower);
+		if (report.instances !== undefined && !this.parts.duty.isHeld()) {
+			this.#instanceRevision = report.instances.revision;
+			this.parts.instanceKeeper.applyReported(report.instances.entries);
+		}
+	}
+
+	/** Asks the coordinator for tokens; undefined when it does not answer in time. */
+	async #requestTokens(wants: TokenWants): Promise<TokenGrants | undefined> {
+		if (this.parts.duty.isHeld()) {
+			return this.parts.coordinator.issueTokens(this.parts.identity.vm, wants);
+		}
+
+		if (this.#link?.isOpen !== true || this.parts.clock.now() - this.#answeredAt > coordinatorSilentMs) {
+			return undefined;
+		}
+
+		this.#tokenSequence += 1;
+		const sequence = this.#tokenSequence;
+		this.#link.send({
+			kind: 'token-request', vm: this.parts.identity.vm, sequence, wants,
+		});
+		return new Promise(resolve => {
+			const timer = setTimeout(() => {
+				this.#tokenRequests.delete(sequence);
+				resolve(undefined);
+			}, tokenTimeoutMs);
+			this.#tokenRequests.set(sequence, grants => {
+				clearTimeout(timer);
+				this.#tokenRequests.delete(sequence);
+				resolve(grants);
+			});
+		});
 	}
 
 	async #pollStore(): Promise<void> {
@@ -384,6 +488,7 @@
 
 		if (this.#isRegistered && !this.parts.duty.isHeld() && this.parts.duty.isVacant(state.duty) && await this.parts.duty.takeOver(state.duty)) {
 			this.parts.coordinator.setRegistered(new Set(state.members.keys()));
+			this.parts.coordinator.setInstances([...this.parts.instances.getAll()], this.parts.clock.now());
 		}
 	}
 }
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -1,6 +1,9 @@
-import {type BucketLimit, divideLimit, type PrimaryEvidence} from '@chicorysaddle/decisions';
-import {type Heartbeat, type Report} from '@chicorysaddle/protocol/coordination';
+import {type PrimaryEvidence, TokenIssuer} from '@chicorysaddle/decisions';
+import {
+	type Heartbeat, type Report, type TokenGrants, type TokenWants,
+} from '@chicorysaddle/protocol/coordination';
 import {type ConfigurationView} from '../configuration/index.js';
+import {type Instance} from '../instances/index.js';
 import {type Clock} from '../ports/index.js';
 import {termLeaseMs, type TermRegistry} from '../terms/index.js';
 import {type DutyKeeper} from './duty-keeper.js';
@@ -9,6 +12,9 @@
 /** Time without a heartbeat after which a VM's demand and evidence no longer count, milliseconds. */
 const heardMs = 1500;
 
+/** VMs beside the coordinator that read the store themselves, so that one whom it turns away learns of changes. */
+const followerCount = 2;
+
 /** Slack on top of a lease that has to run out, milliseconds. */
 const leaseMarginMs = 50;
 
@@ -21,7 +27,9 @@
 /** What the coordinator knows of the VMs: it answers their heartbeats and divides what they share. */
 export class Coordinator {
 	readonly #members = new Map<string, MemberState>();
+	readonly #issuer = new TokenIssuer();
 	#registered: ReadonlySet<string> = new Set();
+	#instances: NonNullable<Report['instances']> = {revision: '', entries: []};
 
 	constructor(
 		private readonly vm: string,
@@ -52,15 +60,16 @@
 		this.#members.delete(vm);
 	}
 
-	/**
-	 * Answers a heartbeat.
-	 * @param ownDemands - Demands of this VM.
-	 */
+	/** Answers a heartbeat. */
 	receiveHeartbeat(heartbeat: Heartbeat, link: PeerLink | undefined): Report {
 		const now = this.clock.now();
 		const isDelayed = heartbeat.sequence < (this.#members.get(heartbeat.vm)?.heartbeat.sequence ?? 0)
 			&& heartbeat.incarnation === this.#members.get(heartbeat.vm)?.heartbeat.incarnation;
 		if (!isDelayed) {
+			if (heartbeat.incarnation !== this.#members.get(heartbeat.vm)?.heartbeat.incarnation) {
+				this.#issuer.removeVm(heartbeat.vm);
+			}
+
 			this.#members.set(heartbeat.vm, {link, heartbeat, heardAt: now});
 		}
 
@@ -77,7 +86,10 @@
 
 	createReport(vm: string, sequence: number | undefined): Report {
 		const positions: Report['positions'] = {};
-		for (const {group} of this.terms.getTerms()) {
+		const terms = this.terms.getTerms();
+		const heartbeat = this.#members.get(vm)?.heartbeat;
+		const isKnown = terms.every(term => heartbeat?.revisions[term.group] === term.revision);
+		for (const {group} of terms) {
 			const newest = this.terms.getNewestPosition(group);
 			if (newest !== undefined) {
 				positions[group] = {position: newest.position, ageMs: newest.ageMs};
@@ -90,14 +102,44 @@
 			stampMs: this.clock.now(),
 			token: this.duty.token,
 			dutyRevision: this.duty.version,
-			terms: this.terms.getTerms(),
-			shares: this.#createShares(vm),
+			terms: isKnown ? undefined : terms,
+			isFollower: this.#isFollower(vm),
+			instances: heartbeat?.instanceRevision === this.#instances.revision ? undefined : this.#instances,
 			positions,
 			configurationVersion: this.configuration.version,
 			members: this.memberCount,
 		};
 	}
 
+	/** Sets the instances that the VMs are told. */
+	setInstances(entries: readonly Instance[], now: number): void {
+		this.#instances = {revision: `${this.duty.token}.${Math.round(now)}`, entries: [...entries]};
+	}
+
+	/** Gives a VM tokens of the accounts that it asks for. */
+	issueTokens(vm: string, wants: TokenWants): TokenGrants {
+		const now = this.clock.now();
+		const silent = this.getSilent(heardMs);
+		const grants: TokenGrants = {};
+		for (const [account, want] of Object.entries(wants)) {
+			const limit = this.configuration.getAccount(account);
+			grants[account] = limit === undefined
+				? {count: 0, waitMs: heardMs}
+				: this.#issuer.issue({
+					vm, account, want, limit,
+				}, silent, now);
+		}
+
+		return grants;
+	}
+
+	/** Says whether a VM is one of the few that follow the store beside the coordinator. */
+	#isFollower(vm: string): boolean {
+		const now = this.clock.now();
+		const heard = [...this.#members].filter(([name, member]) => name !== this.vm && now - member.heardAt <= heardMs).map(([name]) => name).toSorted();
+		return heard.indexOf(vm) < followerCount;
+	}
+
 	/** Returns the evidence that other VMs have on a group's primary, on this VM's clock. */
 	getEvidence(group: string): PrimaryEvidence[] {
 		const now = this.clock.now();
@@ -151,22 +193,4 @@
 			this.terms.observePosition(group, position, Math.min(sentAt, this.clock.now()) - ageMs);
 		}
 	}
-
-	#createShares(vm: string): Record<string, BucketLimit> {
-		const now = this.clock.now();
-		const heard = [...this.#members].filter(([, member]) => now - member.heardAt <= heardMs);
-		const shares: Record<string, BucketLimit> = {};
-		for (const name of Object.keys(this.#members.get(vm)?.heartbeat.demands ?? {})) {
-			const account = this.configuration.getAccount(name);
-			if (account !== undefined) {
-				const demands = new Map(heard.map(([member, {heartbeat}]) => [member, heartbeat.demands[name] ?? 0]));
-				const share = divideLimit({ratePerS: account.ratePerS, burst: account.burst}, demands, this.memberCount).get(vm);
-				if (share !== undefined) {
-					shares[name] = share;
-				}
-			}
-		}
-
-		return shares;
-	}
 }
--- a/packages/gateway/src/instances/instance-keeper.ts
+++ b/packages/gateway/src/instances/instance-keeper.ts
@@ -4,7 +4,7 @@
 import {type InstanceRegistry} from './instance-registry.js';
 
 /** Interval at which the list is read, milliseconds: well inside the time in which a draining instance may still be used. */
-const readIntervalMs = 1500;
+const readIntervalMs = 1000;
 
 /** Pause after a call that failed, milliseconds. */
 const failurePauseMs = 300;
@@ -20,6 +20,7 @@
 	#isStopped = false;
 	#outageEndedAt = Number.NEGATIVE_INFINITY;
 	#isAway = false;
+	#isReading = true;
 	#wake: (() => void) | undefined;
 
 	constructor(private readonly table: CoordinationTable, private readonly registry: InstanceRegistry, private readonly clock: Clock, private readonly log: DecisionLog) {}
@@ -27,7 +28,7 @@
 	/** Reads the list until it is stopped. */
 	async run(): Promise<void> {
 		while (!this.#isStopped) {
-			const isRead = await this.#read();
+			const isRead = this.#isReading ? await this.#read() : true;
 			await new Promise<void>(resolve => {
 				const timer = setTimeout(resolve, isRead ? readIntervalMs : failurePauseMs);
 				this.#wake = () => {
@@ -38,9 +39,18 @@
 		}
 	}
 
-	/** Reads the list soon. */
-	refresh(): void {
-		this.#wake?.();
+	/** Sets whether this VM reads the list itself; the coordinator tells it otherwise. */
+	setReading(isReading: boolean): void {
+		const isNew = isReading && !this.#isReading;
+		this.#isReading = isReading;
+		if (isNew) {
+			this.#wake?.();
+		}
+	}
+
+	/** Takes in the list that the coordinator has. */
+	applyReported(instances: readonly Instance[]): void {
+		this.registry.applyList(instances, this.clock.now());
 	}
 
 	stop(): void {
--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -1,107 +1,165 @@
 import {
-	type BucketLimit, evenPart, getEvenShare, TokenBucket,
+	observePace, TokenBucket, unheardPaceFactor, type TokenGrant, type TokenWant,
 } from '@chicorysaddle/decisions';
 import {type ConfigurationView} from '../configuration/index.js';
+import {type GatewayMetrics} from '../observability/index.js';
 import {type Clock} from '../ports/index.js';
 
-/** Time for which a share holds without being renewed, milliseconds: four heartbeats. */
-const shareLeaseMs = 2000;
+/** Asks the coordinator for tokens; undefined when it does not answer. */
+export type TokenChannel = (wants: Readonly<Record<string, TokenWant>>) => Promise<Readonly<Record<string, TokenGrant>> | undefined>;
 
-/** Time over which demand is averaged, milliseconds. */
-const demandWindowMs = 1000;
+/** Time for which tokens that were given ahead of need may be used, milliseconds. */
+const stockMs = 1000;
 
-/** Operations that one VM may admit beyond its share before the coordinator has followed its demand. */
-const overdraft = 2;
+/** Time of demand for which tokens are asked ahead, seconds. */
+const aheadS = 0.3;
+
+/** Longest time for which a refusal of the coordinator is repeated without asking, milliseconds. */
+const repeatMs = 150;
+
+/** Operations of one account that may be admitted at once without word from the coordinator. */
+const unheardBurst = 1;
+
+type Waiter = (waitMs: number) => void;
 
 type AccountState = {
-	readonly bucket: TokenBucket;
-	limit: BucketLimit;
-	asked: number;
-	demandPerS: number;
+	stock: number;
+	stockUntil: number;
+	deniedUntil: number;
+	isAsking: boolean;
+	waiting: Waiter[];
+	/** Limit while the coordinator does not answer: the pace of before. */
+	unheard: TokenBucket | undefined;
 };
 
-/** Keeps this VM's part of each account's rate and burst. */
+/** Admits operations within each account's rate and burst over all VMs. */
 export class AccountLimiter {
 	readonly #accounts = new Map<string, AccountState>();
+	readonly #paces = new Map<string, {perS: number; at: number}>();
+	#channel: TokenChannel | undefined;
 	#members = 1;
-	#shares: Readonly<Record<string, BucketLimit>> = {};
-	#sharesUntil = Number.NEGATIVE_INFINITY;
-	#measuredAt: number;
+	#isFlushing = false;
+
+	constructor(private readonly configuration: ConfigurationView, private readonly clock: Clock, private readonly metrics: GatewayMetrics) {}
 
-	constructor(private readonly configuration: ConfigurationView, private readonly clock: Clock) {
-		this.#measuredAt = clock.now();
+	/** Sets the way to the coordinator. */
+	setChannel(channel: TokenChannel): void {
+		this.#channel = channel;
 	}
 
-	/** Sets how many VMs may hold a share. */
+	/** Sets how many VMs an account's limit is divided over while nobody coordinates. */
 	setMembers(members: number): void {
 		this.#members = Math.max(1, members);
 	}
 
 	/**
 	 * Takes the right to one operation.
-	 * @returns Zero when it was there, else the time until there is one, milliseconds.
+	 * @returns Zero when it was there, else the time until there may be one, milliseconds.
 	 */
-	takeOperation(account: string): number {
+	async takeOperation(account: string): Promise<number> {
 		const now = this.clock.now();
-		const state = this.#getState(account, now);
-		state.asked += 1;
-		this.#updateLimit(account, state, now);
-		return state.bucket.takeToken(now, overdraft) ? 0 : Math.max(1, state.bucket.getWaitMs(now));
+		const state = this.#getState(account);
+		if (state.stock > 0 && now < state.stockUntil) {
+			state.stock -= 1;
+			observePace(this.#paces, account, 1, now);
+			return 0;
+		}
+
+		state.stock = 0;
+		if (now < state.deniedUntil) {
+			return state.deniedUntil - now;
+		}
+
+		return new Promise(resolve => {
+			state.waiting.push(resolve);
+			this.#flushSoon();
+		});
 	}
 
-	/**
-	 * Takes in this VM's shares; an account that is not among them keeps the part that does not follow demand.
-	 * @param at - Steady time at which the shares were asked for, milliseconds.
-	 */
-	applyShares(shares: Readonly<Record<string, BucketLimit>>, at: number): void {
-		this.#shares = shares;
-		this.#sharesUntil = at + shareLeaseMs;
+	#flushSoon(): void {
+		if (!this.#isFlushing) {
+			this.#isFlushing = true;
+			setImmediate(() => {
+				this.#isFlushing = false;
+				void this.#flush();
+			});
+		}
+	}
+
+	async #flush(): Promise<void> {
+		const asked = new Map<string, Waiter[]>();
+		const wants: Record<string, TokenWant> = {};
+		for (const [account, state] of this.#accounts) {
+			if (state.waiting.length > 0 && !state.isAsking) {
+				state.isAsking = true;
+				asked.set(account, state.waiting);
+				wants[account] = {needed: state.waiting.length, extra: Math.floor((this.#paces.get(account)?.perS ?? 0) * aheadS)};
+				state.waiting = [];
+			}
+		}
+
+		if (asked.size === 0) {
+			return;
+		}
+
+		const grants = await this.#channel?.(wants);
+		for (const [account, waiters] of asked) {
+			const state = this.#getState(account);
+			state.isAsking = false;
+			const grant = grants?.[account];
+			if (grant === undefined) {
+				this.#settleUnheard(account, state, waiters);
+			} else {
+				this.#settle(account, state, waiters, grant);
+			}
+		}
+
+		if ([...this.#accounts.values()].some(state => state.waiting.length > 0)) {
+			this.#flushSoon();
+		}
 	}
 
-	/** Returns the operations a second that callers asked for, by account. */
-	measureDemands(): Record<string, number> {
+	#settle(account: string, state: AccountState, waiters: readonly Waiter[], grant: TokenGrant): void {
 		const now = this.clock.now();
-		const elapsed = Math.max(1, now - this.#measuredAt);
-		const weight = Math.min(1, elapsed / demandWindowMs);
-		this.#measuredAt = now;
-		const demands: Record<string, number> = {};
-		for (const [name, state] of this.#accounts) {
-			state.demandPerS += weight * (((state.asked * 1000) / elapsed) - state.demandPerS);
-			state.asked = 0;
-			demands[name] = Math.round(state.demandPerS * 10) / 10;
+		state.unheard = undefined;
+		for (const [index, settle] of waiters.entries()) {
+			if (index < grant.count) {
+				observePace(this.#paces, account, 1, now);
+				settle(0);
+			} else {
+				settle(Math.max(1, grant.waitMs));
+			}
 		}
 
-		return demands;
+		state.stock = Math.max(0, grant.count - waiters.length);
+		state.stockUntil = now + stockMs;
+		if (grant.waitMs > 0) {
+			state.deniedUntil = now + Math.min(repeatMs, grant.waitMs);
+		}
+	}
+
+	#settleUnheard(account: string, state: AccountState, waiters: readonly Waiter[]): void {
+		const now = this.clock.now();
+		const limit = this.configuration.getAccount(account);
+		const even = (limit?.ratePerS ?? 0) / this.#members;
+		this.metrics.addCount('limit_unheard');
+		state.unheard ??= new TokenBucket({
+			ratePerS: Math.max(even, (this.#paces.get(account)?.perS ?? 0) * unheardPaceFactor), burst: Math.max(unheardBurst, (limit?.burst ?? 0) / this.#members),
+		}, unheardBurst, now);
+		for (const settle of waiters) {
+			settle(state.unheard.takeToken(now, 0) ? 0 : Math.max(1, state.unheard.getWaitMs(now)));
+		}
 	}
 
-	#getState(account: string, now: number): AccountState {
+	#getState(account: string): AccountState {
 		let state = this.#accounts.get(account);
 		if (state === undefined) {
-			const limit = this.#getEvenShare(account);
 			state = {
-				bucket: new TokenBucket(limit, limit.burst, now), limit, asked: 0, demandPerS: 0,
+				stock: 0, stockUntil: 0, deniedUntil: 0, isAsking: false, waiting: [], unheard: undefined,
 			};
 			this.#accounts.set(account, state);
 		}
 
 		return state;
 	}
-
-	#updateLimit(account: string, state: AccountState, now: number): void {
-		const limit = now < this.#sharesUntil ? this.#shares[account] ?? this.#getFloorShare(account) : this.#getEvenShare(account);
-		if (limit.ratePerS !== state.limit.ratePerS || limit.burst !== state.limit.burst) {
-			state.limit = limit;
-			state.bucket.setLimit(limit, now);
-		}
-	}
-
-	#getFloorShare(name: string): BucketLimit {
-		const share = this.#getEvenShare(name);
-		return {ratePerS: share.ratePerS * evenPart, burst: share.burst * evenPart};
-	}
-
-	#getEvenShare(name: string): BucketLimit {
-		const account = this.configuration.getAccount(name);
-		return account === undefined ? {ratePerS: 0, burst: 0} : getEvenShare({ratePerS: account.ratePerS, burst: account.burst}, this.#members);
-	}
 }
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -34,9 +34,7 @@
 	#closingRefusal: Refusal | undefined;
 
 	readonly #handlers: Readonly<Record<StatementKind, Handler>> = {
-		begin: (request, startedAt) => {
-			this.#begin(request, startedAt);
-		},
+		begin: async (request, startedAt) => this.#begin(request, startedAt),
 		commit: async request => this.#endTransaction(request),
 		'roll-back': request => {
 			this.#rollBack(request);
@@ -174,19 +172,23 @@
 		}
 	}
 
-	#begin(request: StatementRequest, startedAt: number): void {
+	async #begin(request: StatementRequest, startedAt: number): Promise<void> {
 		if (this.#state !== 'idle') {
 			this.#refuse(request, refusals.invalid('a transaction is open already'));
 			return;
 		}
 
-		const begun = this.#beginOperation(request, startedAt);
+		const begun = await this.#beginOperation(request, startedAt);
 		if (begun.kind === 'refused') {
 			this.#refuse(request, begun.refusal, begun.isFinal);
 			return;
 		}
 
 		const {statement} = request;
+		if (this.#isClosed) {
+			return;
+		}
+
 		this.#transaction = new Transaction(this.services, this.#runner, begun.operation, statement.kind === 'begin' ? statement.access : 'read-write');
 		this.#state = 'in-transaction';
 		this.#acknowledge();
@@ -253,7 +255,7 @@
 			return;
 		}
 
-		const begun = this.#beginOperation(request, startedAt);
+		const begun = await this.#beginOperation(request, startedAt);
 		if (begun.kind === 'refused') {
 			this.#refuse(request, begun.refusal, begun.isFinal);
 			return;
@@ -301,7 +303,7 @@
 	}
 
 	/** Checks key, database, shutdown and rate at the start of a statement or transaction. */
-	#beginOperation(request: StatementRequest, startedAt: number): OperationResult {
+	async #beginOperation(request: StatementRequest, startedAt: number): Promise<OperationResult> {
 		if (this.#closingRefusal !== undefined) {
 			return {kind: 'refused', refusal: this.#closingRefusal, isFinal: true};
 		}
@@ -316,7 +318,7 @@
 			return {kind: 'refused', refusal: refusals.unknownKey(), isFinal: true};
 		}
 
-		const waitMs = this.#takeOperation(account);
+		const waitMs = await this.#takeOperation(account);
 		if (waitMs > 0) {
 			return {kind: 'refused', refusal: refusals.overLimit(account, Math.ceil(waitMs)), isFinal: false};
 		}
@@ -328,7 +330,7 @@
 		};
 	}
 
-	#takeOperation(account: string): number {
+	async #takeOperation(account: string): Promise<number> {
 		return this.services.configuration.getAccount(account) === undefined ? 0 : this.services.limiter.takeOperation(account);
 	}
 
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -40,14 +40,14 @@
 	const dispatcher = new Dispatcher({
 		configuration, instances, terms, connector, clock, metrics, log,
 	});
-	const limiter = new AccountLimiter(configuration, clock);
+	const limiter = new AccountLimiter(configuration, clock, metrics);
 	const duty = new DutyKeeper(table, identity, clock, log);
 	const coordinator = new Coordinator(identity.vm, duty, terms, configuration, clock);
 	const promoter = new Promoter({
 		vm: identity.vm, duty, coordinator, terms, instances, configuration, dispatcher, table, connector, service: promotion, clock, log, metrics,
 	});
 	const member = new ClusterMember({
-		identity, duty, coordinator, promoter, terms, configuration, keeper: configurationKeeper, dispatcher, limiter, table, clock, log,
+		identity, duty, coordinator, promoter, terms, configuration, keeper: configurationKeeper, instances, instanceKeeper, dispatcher, limiter, table, clock, log,
 	});
 	const services: SessionServices = {
 		configuration, dispatcher, limiter, terms, clock, log, metrics,
--- a/packages/protocol/src/coordination/messages.ts
+++ b/packages/protocol/src/coordination/messages.ts
@@ -26,8 +26,17 @@
 	revision: number,
 });
 
-/** An account's share of its limit for one VM. */
-const share = Codec.interface({ratePerS: number, burst: number});
+/** An instance as VMs know it. */
+const instanceEntry = Codec.interface({
+	id: string,
+	group: string,
+	address: string,
+	zone: string,
+	slots: number,
+	state: oneOf([exactly('ready'), exactly('draining')]),
+	reportedRole: oneOf([exactly('primary'), exactly('replica')]),
+	bornMs: number,
+});
 
 /** What a VM tells the coordinator. */
 export const heartbeatCodec = Codec.interface({
@@ -35,13 +44,13 @@
 	vm: string,
 	incarnation: string,
 	sequence: number,
-	/** Operations a second that callers asked for, by account. */
-	demands: record(string, number),
 	positions: record(string, positionReport),
 	evidence: record(string, evidenceReport),
 	/** Newest revision of each group's term that this VM acts by. */
 	revisions: record(string, number),
 	configurationVersion: number,
+	/** Revision of the instances that this VM was last told, absent where it reads them itself. */
+	instanceRevision: optional(string),
 	/** The newest report that was received, with the time since then: it bounds when this heartbeat was sent. */
 	echo: optional(Codec.interface({stampMs: number, ageMs: number})),
 });
@@ -56,8 +65,12 @@
 	token: number,
 	/** Version of the coordinator's row in the store. */
 	dutyRevision: number,
-	terms: array(groupTerm),
-	shares: record(string, share),
+	/** Absent where the VM's heartbeat shows that it knows them. */
+	terms: optional(array(groupTerm)),
+	/** Whether the VM has to follow the store's configuration itself. */
+	isFollower: boolean,
+	/** Absent where the VM's heartbeat shows that it knows them. */
+	instances: optional(Codec.interface({revision: string, entries: array(instanceEntry)})),
 	positions: record(string, positionReport),
 	configurationVersion: number,
 	members: number,
@@ -72,12 +85,25 @@
 /** Tells a VM that it is not talking to the coordinator. */
 export const notCoordinatorCodec = Codec.interface({kind: exactly('not-coordinator')});
 
-const messageCodec = oneOf([heartbeatCodec, reportCodec, configurationRequestCodec, configurationReplyCodec, notCoordinatorCodec]);
+/** Asks for tokens: operations of accounts that callers wait for. */
+export const tokenRequestCodec = Codec.interface({
+	kind: exactly('token-request'), vm: string, sequence: number, wants: record(string, Codec.interface({needed: number, extra: number})),
+});
+
+/** Gives tokens. */
+export const tokenGrantCodec = Codec.interface({
+	kind: exactly('token-grant'), sequence: number, grants: record(string, Codec.interface({count: number, waitMs: number})),
+});
+
+const messageCodec = oneOf([heartbeatCodec, reportCodec, tokenRequestCodec, tokenGrantCodec, configurationRequestCodec, configurationReplyCodec, notCoordinatorCodec]);
 
 export type GroupTermMessage = GetType<typeof groupTerm>;
 export type EvidenceReport = GetType<typeof evidenceReport>;
 export type PositionReport = GetType<typeof positionReport>;
-export type ShareMessage = GetType<typeof share>;
+export type TokenRequest = GetType<typeof tokenRequestCodec>;
+export type TokenGrantMessage = GetType<typeof tokenGrantCodec>;
+export type TokenWants = TokenRequest['wants'];
+export type TokenGrants = TokenGrantMessage['grants'];
 export type Heartbeat = GetType<typeof heartbeatCodec>;
 export type Report = GetType<typeof reportCodec>;
 export type ConfigurationReply = GetType<typeof configurationReplyCodec>;
@@ -86,6 +112,8 @@
 const codecs: Readonly<Record<string, {decode: (input: unknown) => ReturnType<typeof messageCodec.decode>}>> = {
 	heartbeat: heartbeatCodec,
 	report: reportCodec,
+	'token-request': tokenRequestCodec,
+	'token-grant': tokenGrantCodec,
 	'configuration-request': configurationRequestCodec,
 	'configuration-reply': configurationReplyCodec,
 	'not-coordinator': notCoordinatorCodec,
