--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 const config = {
-	files: ['packages/*/dist/tests/**/*.test.js'],
+	files: ['packages/*/dist/tests/**/*.test.js', 'platform/dist/tests/**/*.test.js'],
 	timeout: '120s',
 	concurrency: 3,
 };
--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -1,4 +1,3 @@
-import {type Server} from 'node:net';
 import {type Moment} from '@chicorysaddle/decisions';
 import {
 	type Heartbeat, type parsePeerMessage, type PeerMessage, type Report, type TokenGrants, type TokenWants,
@@ -8,14 +7,13 @@
 import {type InstanceKeeper, type InstanceRegistry} from '../instances/index.js';
 import {type AccountLimiter} from '../limits/index.js';
 import {type DecisionLog} from '../observability/index.js';
-import {type Clock, type CoordinationTable} from '../ports/index.js';
+import {
+	type Clock, type CoordinationTable, type PeerLink, type PeerListening, type PeerNetwork,
+} from '../ports/index.js';
 import {type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type DutyKeeper} from './duty-keeper.js';
 import {type GatewayIdentity} from './gateway-identity.js';
-import {
-	connectPeer, listenForPeers, parseSocketAddress, type PeerLink,
-} from './peer-link.js';
 import {type Promoter} from './promoter.js';
 import {
 	type DutyRow, getMemberKey, parseSharedRows, type SharedState,
@@ -67,13 +65,14 @@
 	readonly dispatcher: Dispatcher;
 	readonly limiter: AccountLimiter;
 	readonly table: CoordinationTable;
+	readonly network: PeerNetwork;
 	readonly clock: Clock;
 	readonly log: DecisionLog;
 };
 
 /** Keeps this VM's place among the others: its leases, shares, and what it tells of itself. */
 export class ClusterMember {
-	#server: Server | undefined;
+	#server: PeerListening | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#link: PeerLink | undefined;
 	#linkAddress = '';
@@ -122,7 +121,7 @@
 	}
 
 	async start(): Promise<void> {
-		this.#server = await listenForPeers(parseSocketAddress(this.parts.identity.peerAddress), link => ({
+		this.#server = await this.parts.network.listen(this.parts.identity.peerAddress, link => ({
 			onMessage: message => {
 				this.#receiveFromPeer(link, message);
 			},
@@ -263,10 +262,13 @@
 		this.#link?.close();
 		this.#linkAddress = address;
 		this.#linkOpenedAt = now;
-		const link = connectPeer(parseSocketAddress(address), message => {
-			this.#receiveFromCoordinator(message);
-		}, () => {
-			// The next heartbeat opens another link.
+		const link = this.parts.network.connect(address, {
+			onMessage: message => {
+				this.#receiveFromCoordinator(message);
+			},
+			onClosed() {
+				// The next heartbeat opens another link.
+			},
 		});
 		this.#link = link;
 	}
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -4,10 +4,9 @@
 } from '@chicorysaddle/protocol/coordination';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Instance} from '../instances/index.js';
-import {type Clock} from '../ports/index.js';
+import {type Clock, type PeerLink} from '../ports/index.js';
 import {termLeaseMs, type TermRegistry} from '../terms/index.js';
 import {type DutyKeeper} from './duty-keeper.js';
-import {type PeerLink} from './peer-link.js';
 
 /** Time without a heartbeat after which a VM's demand and evidence no longer count, milliseconds. */
 const heardMs = 1500;
--- a/packages/gateway/src/coordination/peer-link.ts
+++ b/packages/gateway/src/coordination/peer-link.ts
@@ -1,20 +1,18 @@
-import {
-	createConnection, createServer, type Server, type Socket,
-} from 'node:net';
+import {createConnection, createServer, type Socket} from 'node:net';
 import {formatPeerMessage, parsePeerMessage, type PeerMessage} from '@chicorysaddle/protocol/coordination';
+import {
+	type PeerHandlers, type PeerLink, type PeerListening, type PeerNetwork,
+} from '../ports/index.js';
 
 /** Longest line between VMs, characters: a configuration of thousands of routes. */
 const maxLineLength = 16_777_216;
 
-/** Called with each message; an invalid one is passed on as such. */
-export type PeerListener = (message: ReturnType<typeof parsePeerMessage>) => void;
-
 /** A connection between two VMs that carries one JSON message a line. */
-export class PeerLink {
+class LinePeerLink implements PeerLink {
 	#text = '';
 	#isOpen = true;
 
-	constructor(private readonly socket: Socket, private readonly onMessage: PeerListener, private readonly onClosed: () => void) {
+	constructor(private readonly socket: Socket, private readonly getHandlers: () => PeerHandlers) {
 		socket.setNoDelay(true);
 		socket.setEncoding('utf8');
 		socket.on('data', (chunk: string) => {
@@ -25,7 +23,7 @@
 		});
 		socket.on('close', () => {
 			this.#isOpen = false;
-			this.onClosed();
+			this.getHandlers().onClosed();
 		});
 	}
 
@@ -54,7 +52,7 @@
 		for (let end = this.#text.indexOf('\n'); end !== -1; end = this.#text.indexOf('\n')) {
 			const line = this.#text.slice(0, end);
 			this.#text = this.#text.slice(end + 1);
-			this.onMessage(parsePeerMessage(line));
+			this.getHandlers().onMessage(parsePeerMessage(line));
 		}
 	}
 }
@@ -71,33 +69,29 @@
 	return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))};
 }
 
-/**
- * Connects to another VM; the link may be used before it is open.
- * @param onClosed - Called once, also when the VM cannot be reached.
- */
-export function connectPeer(address: SocketAddress, onMessage: PeerListener, onClosed: () => void): PeerLink {
-	return new PeerLink(createConnection(address), onMessage, onClosed);
-}
+/** Connects VMs over TCP. */
+export class TcpPeerNetwork implements PeerNetwork {
+	connect(address: string, handlers: PeerHandlers): PeerLink {
+		return new LinePeerLink(createConnection(parseSocketAddress(address)), () => handlers);
+	}
 
-/**
- * Takes connections of other VMs.
- * @param accept - Called with each link; returns what listens on it.
- */
-export async function listenForPeers(address: SocketAddress, accept: (link: PeerLink) => {onMessage: PeerListener; onClosed: () => void}): Promise<Server> {
-	const server = createServer(socket => {
-		const link: PeerLink = new PeerLink(socket, message => {
-			handlers.onMessage(message);
-		}, () => {
-			handlers.onClosed();
+	async listen(address: string, accept: (link: PeerLink) => PeerHandlers): Promise<PeerListening> {
+		const server = createServer(socket => {
+			const link: PeerLink = new LinePeerLink(socket, () => handlers);
+			const handlers = accept(link);
 		});
-		const handlers = accept(link);
-	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(address.port, address.host, () => {
-			server.removeListener('error', reject);
-			resolve();
+		const {host, port} = parseSocketAddress(address);
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(port, host, () => {
+				server.removeListener('error', reject);
+				resolve();
+			});
 		});
-	});
-	return server;
+		return {
+			close() {
+				server.close();
+			},
+		};
+	}
 }
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -117,11 +117,16 @@
 			await pause(drainPollMs);
 		}
 
+		this.stop();
+		await this.member.leave();
+		this.services.log.logState('shutdown.ended', {sessions: this.#sessions.size, durationMs: Math.round(elapsed())});
+	}
+
+	/** Ends the work in the background at once. */
+	stop(): void {
 		this.configurationKeeper.stop();
 		this.instanceKeeper.stop();
 		this.member.stop();
-		await this.member.leave();
-		this.services.log.logState('shutdown.ended', {sessions: this.#sessions.size, durationMs: Math.round(elapsed())});
 	}
 
 	#closeRevoked(): void {
--- a/packages/gateway/src/observability/decision-log.ts
+++ b/packages/gateway/src/observability/decision-log.ts
@@ -4,6 +4,13 @@
 /** Values that a log line may carry. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** Where lines go. */
+export type LogOutput = {
+	write(text: string): unknown;
+	/** Bytes that wait for the reader. */
+	readonly writableLength: number;
+};
+
 /** How much a kind of line may weigh. */
 export type LogImportance = 'state' | 'refusal' | 'success';
 
@@ -23,7 +30,7 @@
 	#omitted = 0;
 
 	/** @param vm - Name of this VM, on every line. */
-	constructor(vm: string, private readonly output: NodeJS.WritableStream & {readonly writableLength: number} = process.stdout) {
+	constructor(vm: string, private readonly output: LogOutput = process.stdout) {
 		this.#roarr = Roarr.child({vm});
 		ROARR.write = message => {
 			this.output.write(`${message}\n`);
--- a/packages/gateway/src/ports/index.ts
+++ b/packages/gateway/src/ports/index.ts
@@ -3,3 +3,4 @@
 export type * from './coordination-table.js';
 export type * from './promotion-service.js';
 export type * from './caller-connection.js';
+export type * from './peer-network.js';
--- /dev/null
+++ b/packages/gateway/src/tests/coordination/failover.test.ts
@@ -0,0 +1,235 @@
+import test from 'ava';
+import {type FakeInstance} from '../fakes/fake-database.js';
+import {
+	describeAnswer, statements, TestCluster, type TestCaller,
+} from '../fakes/test-cluster.js';
+
+const {read, write} = statements;
+
+/** Waits until a group is led by another instance. */
+async function waitForPromotion(cluster: TestCluster, former: FakeInstance, atMostMs: number): Promise<number> {
+	const startedAt = cluster.time.now();
+	while (cluster.time.now() < startedAt + atMostMs) {
+		const row = cluster.getTermRow();
+		if (row.phase === 'open' && row.primaryId !== former.id) {
+			return cluster.time.now() - startedAt;
+		}
+
+		await cluster.time.advance(10);
+	}
+
+	return Number.POSITIVE_INFINITY;
+}
+
+/** Sends writes through sessions one after another and counts how each ended. */
+async function writeEverywhere(cluster: TestCluster, callers: readonly TestCaller[], rounds: number): Promise<Map<string, number>> {
+	const counts = new Map<string, number>();
+	for (let round = 0; round < rounds; round++) {
+		const answers = await cluster.time.waitFor(Promise.all(callers.map(async caller => caller.send(write))));
+		for (const answer of answers) {
+			const kind = answer.result.kind === 'completed' ? 'completed' : answer.result.refusal.kind;
+			counts.set(kind, (counts.get(kind) ?? 0) + 1);
+		}
+	}
+
+	return counts;
+}
+
+test.serial('the first primary is recorded, by one coordinator', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	t.deepEqual(cluster.getTermRow(), {
+		term: 1, primaryId: 'db-1', phase: 'open', drainMs: 0,
+	} as never);
+	t.true(['vm1', 'vm2', 'vm3'].includes(cluster.getCoordinator()));
+	cluster.stop();
+});
+
+test.serial('a primary that crashed is replaced by the most advanced replica, within a second and its promotion', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const former = cluster.database.primary;
+	const callers = ['vm1', 'vm2', 'vm3'].map(vm => cluster.openSession(vm, 'strict'));
+	await writeEverywhere(cluster, callers, 3);
+	await cluster.time.advance(100);
+	cluster.database.instances[1]!.position = {term: 1, offset: 1};
+	former.crash();
+	const sent = callers.map(async caller => caller.send(write));
+	const gapMs = await waitForPromotion(cluster, former, 5000);
+	t.true(gapMs <= 1000 + cluster.database.options.promoteMs, `${gapMs} ms`);
+	t.is(cluster.getTermRow().primaryId, 'db-3');
+	await cluster.time.waitFor(Promise.all(sent));
+	t.is((await writeEverywhere(cluster, callers, 1)).get('completed'), 3);
+	cluster.stop();
+});
+
+test.serial('a VM that is cut from the primary alone does not have it replaced', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const callers = ['vm1', 'vm2', 'vm3'].map(vm => cluster.openSession(vm, 'strict'));
+	await writeEverywhere(cluster, callers, 1);
+	cluster.database.cuts.add(`${cluster.getCoordinator()} db-1`);
+	for (let round = 0; round < 20; round++) {
+		await writeEverywhere(cluster, callers, 1);
+	}
+
+	t.is(cluster.database.orders.length, 0);
+	t.is(cluster.getTermRow().primaryId, 'db-1');
+	cluster.stop();
+});
+
+test.serial('a planned change of primary lets writes that are under way end, and loses none', async t => {
+	const cluster = new TestCluster();
+	cluster.database.options.serviceMs = 60;
+	await cluster.start();
+	const callers = ['vm1', 'vm2', 'vm3'].flatMap(vm => [cluster.openSession(vm, 'strict'), cluster.openSession(vm, 'strict')]);
+	cluster.store.instances = cluster.store.instances.map(instance => instance.id === 'db-1' ? {...instance, state: 'draining'} : instance);
+	const counts = await writeEverywhere(cluster, callers, 40);
+	t.not(cluster.getTermRow().primaryId, 'db-1');
+	t.is(counts.get('outcome-unknown'), undefined);
+	const acknowledged = counts.get('completed')!;
+	t.is(cluster.database.primary.position.offset, acknowledged, 'every acknowledged write is in the successor\'s log');
+	cluster.stop();
+});
+
+test.serial('a VM that is cut off stops using the old primary before its successor serves', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const coordinator = cluster.getCoordinator();
+	const lost = ['vm1', 'vm2', 'vm3'].find(vm => vm !== coordinator)!;
+	const others = ['vm1', 'vm2', 'vm3'].filter(vm => vm !== lost);
+	const stranded = cluster.openSession(lost, 'strict');
+	const callers = others.map(vm => cluster.openSession(vm, 'strict'));
+	await writeEverywhere(cluster, [stranded, ...callers], 2);
+	// Only the lost VM still reaches the old primary, and neither the store nor any other VM.
+	cluster.network.cut.add(lost);
+	cluster.store.troubles.set(lost, 'silent');
+	for (const vm of others) {
+		cluster.database.cuts.add(`${vm} db-1`);
+	}
+
+	cluster.store.instances = cluster.store.instances.filter(instance => instance.id !== 'db-1');
+	const former = cluster.database.instances[0]!;
+	let servedAfter = 0;
+	for (let round = 0; round < 400; round++) {
+		const pending = stranded.send(round % 2 === 0 ? read : write);
+		const answer = await cluster.time.waitFor(pending);
+		const hasSuccessor = cluster.getTermRow().primaryId !== former.id && cluster.getTermRow().phase === 'open';
+		if (hasSuccessor && answer.result.kind === 'completed') {
+			servedAfter += 1;
+		}
+
+		await cluster.time.advance(10);
+	}
+
+	t.not(cluster.getTermRow().primaryId, former.id);
+	t.is(servedAfter, 0);
+	t.is((await writeEverywhere(cluster, callers, 1)).get('completed'), 2);
+	cluster.stop();
+});
+
+test.serial('a coordinator that is killed is followed by another with a higher token, which finishes what it began', async t => {
+	const cluster = new TestCluster();
+	cluster.database.options.promoteMs = 300;
+	await cluster.start();
+	const coordinator = cluster.getCoordinator();
+	const others = ['vm1', 'vm2', 'vm3'].filter(vm => vm !== coordinator);
+	const callers = others.map(vm => cluster.openSession(vm, 'strict'));
+	await writeEverywhere(cluster, callers, 2);
+	const former = cluster.database.primary;
+	former.crash();
+	const sent = callers.map(async caller => caller.send(write));
+	while (cluster.getTermRow().phase === 'open') {
+		await cluster.time.advance(5);
+	}
+
+	cluster.getGateway(coordinator).gateway.stop();
+	cluster.network.cut.add(coordinator);
+	cluster.store.troubles.set(coordinator, 'silent');
+	t.true(await waitForPromotion(cluster, former, 12_000) < 12_000);
+	await cluster.time.waitFor(Promise.all(sent));
+	t.not(cluster.getCoordinator(), coordinator);
+	const tokens = cluster.database.orders.map(order => order.fencingToken);
+	t.deepEqual(tokens, tokens.toSorted((a, b) => a - b));
+	t.is((await writeEverywhere(cluster, callers, 1)).get('completed'), 2);
+	cluster.stop();
+});
+
+test.serial('a store that is away for four seconds stops nobody', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const callers = ['vm1', 'vm2', 'vm3'].map(vm => cluster.openSession(vm, 'strict'));
+	cluster.store.trouble = 'silent';
+	const startedAt = cluster.time.now();
+	const counts = new Map<string, number>();
+	while (cluster.time.now() < startedAt + 3900) {
+		for (const [kind, count] of await writeEverywhere(cluster, callers, 1)) {
+			counts.set(kind, (counts.get(kind) ?? 0) + count);
+		}
+
+		// The account stays within its rate.
+		await cluster.time.advance(50);
+	}
+
+	t.deepEqual([...counts.keys()], ['completed']);
+	cluster.store.trouble = 'none';
+	await cluster.time.advance(8000);
+	t.is((await writeEverywhere(cluster, callers, 1)).get('completed'), 3);
+	cluster.stop();
+});
+
+test.serial('lost answers of the store are settled by reading back: a failover goes on', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const callers = ['vm1', 'vm2', 'vm3'].map(vm => cluster.openSession(vm, 'strict'));
+	await writeEverywhere(cluster, callers, 1);
+	cluster.store.trouble = 'answers-lost';
+	const former = cluster.database.primary;
+	former.crash();
+	const sent = callers.map(async caller => caller.send(write));
+	t.true(await waitForPromotion(cluster, former, 8000) < 8000);
+	await cluster.time.waitFor(Promise.all(sent));
+	cluster.store.trouble = 'none';
+	// The coordinator waits for the lost answer before it reads back.
+	await cluster.time.advance(1500);
+	t.is((await writeEverywhere(cluster, callers, 1)).get('completed'), 3);
+	t.is(new Set(cluster.database.orders.map(order => order.holder)).size, 1);
+	cluster.stop();
+});
+
+test.serial('a jump of the time of day ends leases early and costs no statement', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const callers = ['vm1', 'vm2', 'vm3'].map(vm => cluster.openSession(vm, 'strict'));
+	for (const jumpMs of [2400, -2400, 3000, -3000]) {
+		cluster.time.jump(jumpMs);
+		t.is((await writeEverywhere(cluster, callers, 1)).get('completed'), 3, `${jumpMs} ms`);
+		await cluster.time.advance(1000);
+	}
+
+	cluster.stop();
+});
+
+test.serial('a VM that the store turns away from its start learns everything from the others', async t => {
+	const cluster = new TestCluster(['vm1', 'vm2', 'vm3']);
+	await cluster.start();
+	cluster.store.troubles.set('late', 'busy');
+	await cluster.startVm('late');
+	await cluster.time.advance(4000);
+	t.is(describeAnswer(await cluster.openSession('late', 'strict').ask(write)), 'signed q1-1');
+	t.is(cluster.getGateway('late').gateway.isReady, true);
+	cluster.stop();
+});
+
+test.serial('a VM that leaves hands the coordination to another at once', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const coordinator = cluster.getCoordinator();
+	const drained = cluster.getGateway(coordinator).gateway.drain({graceMs: 6000, rotationMs: 2200});
+	await cluster.time.advance(2500);
+	t.not(cluster.getCoordinator(), coordinator);
+	t.not(cluster.getCoordinator(), '');
+	await cluster.time.waitFor(drained);
+	t.false(cluster.store.rows.has(`vm/${coordinator}`));
+	cluster.stop();
+});
--- /dev/null
+++ b/packages/gateway/src/tests/fakes/fake-database.ts
@@ -0,0 +1,396 @@
+import {comparePositions, type LogPosition} from '@chicorysaddle/model';
+import {type Instance} from '../../instances/index.js';
+import {
+	type ConnectResult, type InstanceConnection, type InstanceConnector, type PromotionOrder, type PromotionResult, type PromotionService,
+} from '../../ports/index.js';
+import {
+	type InstanceErrorKind, type InstanceStatus, type OutgoingStatement, type SessionState, type StatementOutcome,
+} from '../../statements/index.js';
+
+/** Something that an instance did for a statement. */
+export type DatabaseEvent = {
+	readonly kind: 'read' | 'commit';
+	readonly at: number;
+	readonly instanceId: string;
+	readonly account: string;
+	readonly requestId: string;
+	/** Log of the instance at that moment. */
+	readonly position: LogPosition;
+	readonly values: ReadonlyMap<string, string>;
+	readonly shape: string | undefined;
+};
+
+/** Settings of a group that a test may change. */
+export type FakeDatabaseOptions = {
+	serviceMs: number;
+	lagMs: number;
+	promoteMs: number;
+	maxConnections: number;
+};
+
+const startMs = 2;
+
+/** An instance of a group. */
+export class FakeInstance {
+	role: 'primary' | 'replica' = 'replica';
+	term = 1;
+	position: LogPosition = {term: 1, offset: 0};
+	isAlive = true;
+	readonly connections = new Set<FakeConnection>();
+
+	constructor(readonly id: string, readonly database: FakeDatabase) {}
+
+	crash(): void {
+		this.isAlive = false;
+		for (const connection of this.connections) {
+			connection.close();
+		}
+	}
+
+	/** Starts again with its log; it leads again unless another was promoted. */
+	restart(): void {
+		this.isAlive = true;
+		if (this.database.term > this.term) {
+			this.role = 'replica';
+			this.term = this.database.term;
+		}
+	}
+}
+
+/** A group of instances in memory. */
+export class FakeDatabase implements PromotionService {
+	readonly instances: FakeInstance[];
+	readonly events: DatabaseEvent[] = [];
+	readonly orders: PromotionOrder[] = [];
+	/** Pairs of VM and instance that cannot reach each other. */
+	readonly cuts = new Set<string>();
+	/** Errors that the next statements of a kind get. */
+	readonly planned: Array<{readonly kind: string; readonly error: InstanceErrorKind | 'lost-after' | 'lost-before'}> = [];
+	term = 1;
+
+	constructor(readonly group: string, count: number, private readonly getNow: () => number, readonly options: FakeDatabaseOptions) {
+		this.instances = Array.from({length: count}, (_, index) => new FakeInstance(`${group}-${index + 1}`, this));
+		this.instances[0]!.role = 'primary';
+	}
+
+	get primary(): FakeInstance {
+		return this.instances.filter(instance => instance.role === 'primary').toSorted((a, b) => b.term - a.term)[0]!;
+	}
+
+	describeInstances(): Instance[] {
+		return this.instances.filter(instance => instance.isAlive).map(instance => ({
+			id: instance.id, group: this.group, address: `${instance.id}:1`, zone: 'a', slots: 2, state: 'ready', reportedRole: instance.role, bornMs: 1,
+		}));
+	}
+
+	isCut(vm: string, instance: FakeInstance): boolean {
+		return this.cuts.has(`${vm} ${instance.id}`);
+	}
+
+	record(event: Omit<DatabaseEvent, 'at'>): void {
+		this.events.push({...event, at: this.getNow()});
+	}
+
+	/** Appends a commit and ships it. */
+	commit(instance: FakeInstance): LogPosition {
+		instance.position = {term: instance.term, offset: instance.position.offset + 1};
+		const {position} = instance;
+		for (const replica of this.instances) {
+			if (replica !== instance && replica.role === 'replica') {
+				setTimeout(() => {
+					if (instance.isAlive && replica.isAlive && replica.role === 'replica' && comparePositions(position, replica.position) > 0 && instance.term >= replica.term) {
+						replica.position = position;
+					}
+				}, this.options.lagMs);
+			}
+		}
+
+		return position;
+	}
+
+	async promote(order: PromotionOrder): Promise<PromotionResult> {
+		this.orders.push(order);
+		const target = this.instances.find(instance => instance.id === order.instanceId);
+		if (target?.isAlive !== true) {
+			return 'rejected';
+		}
+
+		setTimeout(() => {
+			if (target.role === 'primary' && target.term === this.term) {
+				return;
+			}
+
+			this.term += 1;
+			target.role = 'primary';
+			target.term = this.term;
+			target.position = {term: this.term, offset: target.position.offset};
+			for (const other of this.instances) {
+				if (other !== target && other.role === 'replica') {
+					other.term = this.term;
+					other.position = target.position;
+				}
+			}
+		}, this.options.promoteMs);
+		return 'accepted';
+	}
+}
+
+/** Reaches the instances of several groups for one VM. */
+export class FakeConnector implements InstanceConnector {
+	opened = 0;
+
+	constructor(private readonly vm: string, private readonly databases: readonly FakeDatabase[]) {}
+
+	async open(target: Instance, account: string, timeoutMs: number): Promise<ConnectResult> {
+		const database = this.databases.find(candidate => candidate.group === target.group)!;
+		const instance = database.instances.find(candidate => candidate.id === target.id)!;
+		if (database.isCut(this.vm, instance)) {
+			await pause(timeoutMs);
+			return {kind: 'failed', failure: {reason: 'silent', message: 'no answer'}};
+		}
+
+		await pause(startMs);
+		if (!instance.isAlive) {
+			return {kind: 'failed', failure: {reason: 'refused', message: 'refused'}};
+		}
+
+		if (instance.connections.size >= database.options.maxConnections) {
+			return {kind: 'failed', failure: {reason: 'connection-limit', message: 'MAXCONN'}};
+		}
+
+		this.opened += 1;
+		return {kind: 'opened', connection: new FakeConnection(this.vm, instance, account), position: instance.position};
+	}
+}
+
+/** A connection to an instance in memory. */
+export class FakeConnection implements InstanceConnection {
+	isOpen = true;
+	readonly values = new Map<string, string>();
+	readonly prepared = new Map<string, string>();
+	#state: SessionState = 'idle';
+	#hasWritten = false;
+	#isReadOnly = false;
+	readonly #closed: Array<() => void> = [];
+	readonly #cutters = new Set<() => void>();
+
+	constructor(private readonly vm: string, private readonly instance: FakeInstance, private readonly account: string) {
+		instance.connections.add(this);
+	}
+
+	async run(statements: readonly OutgoingStatement[], timeoutMs: number): Promise<StatementOutcome[]> {
+		const outcomes: StatementOutcome[] = [];
+		for (const statement of statements) {
+			outcomes.push(await this.#runWithin(statement, timeoutMs));
+		}
+
+		return outcomes;
+	}
+
+	parseStatus(outcome: StatementOutcome): InstanceStatus | undefined {
+		return outcome.kind === 'completed'
+			? {
+				role: this.instance.role, term: this.instance.term, position: this.instance.position, lagMs: 0,
+			}
+			: undefined;
+	}
+
+	onClosed(listener: () => void): void {
+		this.#closed.push(listener);
+	}
+
+	close(): void {
+		if (this.isOpen) {
+			this.isOpen = false;
+			this.instance.connections.delete(this);
+			for (const cut of this.#cutters) {
+				cut();
+			}
+
+			for (const listener of this.#closed) {
+				listener();
+			}
+		}
+	}
+
+	async #runWithin(statement: OutgoingStatement, timeoutMs: number): Promise<StatementOutcome> {
+		if (!this.isOpen) {
+			return {kind: 'broken', reason: 'closed'};
+		}
+
+		return new Promise(resolve => {
+			const cut = () => {
+				this.#cutters.delete(cut);
+				clearTimeout(timer);
+				resolve({kind: 'broken', reason: 'closed'});
+			};
+
+			const timer = setTimeout(() => {
+				this.#cutters.delete(cut);
+				resolve({kind: 'broken', reason: 'timeout'});
+				this.close();
+			}, timeoutMs);
+			this.#cutters.add(cut);
+			void (async () => {
+				const outcome = await this.#runStatement(statement);
+				if (outcome !== undefined && this.isOpen && !this.instance.database.isCut(this.vm, this.instance)) {
+					this.#cutters.delete(cut);
+					clearTimeout(timer);
+					resolve(outcome);
+				}
+			})();
+		});
+	}
+
+	async #runStatement(outgoing: OutgoingStatement): Promise<StatementOutcome | undefined> {
+		const {database} = this.instance;
+		const {statement} = outgoing;
+		if (database.isCut(this.vm, this.instance)) {
+			return undefined;
+		}
+
+		const isWork = ['read', 'write', 'execute', 'commit'].includes(statement.kind);
+		await pause(isWork ? database.options.serviceMs : 1);
+		if (!this.isOpen) {
+			return undefined;
+		}
+
+		const index = database.planned.findIndex(plan => plan.kind === statement.kind);
+		const [plan] = index === -1 ? [] : database.planned.splice(index, 1);
+		if (plan?.error === 'lost-before') {
+			this.close();
+			return undefined;
+		}
+
+		const outcome = plan === undefined || plan.error === 'lost-after' ? this.#apply(outgoing) : this.#refuse(plan.error);
+		if (plan?.error === 'lost-after') {
+			this.close();
+		}
+
+		return outcome;
+	}
+
+	#apply({id, statement, since}: OutgoingStatement): StatementOutcome {
+		if (since !== undefined && comparePositions(this.instance.position, since) < 0) {
+			return this.#refuse('lagging');
+		}
+
+		switch (statement.kind) {
+			case 'control-begin':
+			case 'begin': {
+				this.#isReadOnly = statement.access === 'read-only';
+				if (!this.#isReadOnly && this.instance.role !== 'primary') {
+					return this.#refuse('not-primary');
+				}
+
+				this.#state = 'in-transaction';
+				return this.#complete();
+			}
+
+			case 'control-roll-back':
+			case 'roll-back': {
+				this.#state = 'idle';
+				this.#hasWritten = false;
+				return this.#complete();
+			}
+
+			case 'control-reset': {
+				this.values.clear();
+				this.prepared.clear();
+				return this.#complete();
+			}
+
+			case 'control-set': {
+				this.values.set(statement.name, statement.value);
+				return this.#complete();
+			}
+
+			case 'control-prepare': {
+				this.prepared.set(statement.name, `${statement.access} ${statement.shape}`);
+				return this.#complete();
+			}
+
+			case 'execute': {
+				const shape = this.prepared.get(statement.name);
+				return shape === undefined ? this.#refuse('no-statement') : this.#work(id!, shape.startsWith('write'), shape);
+			}
+
+			case 'read':
+			case 'write': {
+				return this.#work(id!, statement.kind === 'write', undefined);
+			}
+
+			case 'commit': {
+				return this.#commit(id!);
+			}
+
+			case 'close-prepared':
+			case 'control-status':
+			case 'control-step-down':
+			case 'malformed':
+			case 'prepare':
+			case 'set': {
+				return this.#complete();
+			}
+		}
+	}
+
+	#work(id: string, isWrite: boolean, shape: string | undefined): StatementOutcome {
+		const isLost = this.#state === 'in-transaction' && !this.#isReadOnly && this.instance.role !== 'primary';
+		if ((isWrite && (this.instance.role !== 'primary' || this.#isReadOnly)) || isLost) {
+			return this.#refuse('not-primary');
+		}
+
+		if (isWrite && this.#state === 'in-transaction') {
+			this.#hasWritten = true;
+		} else if (isWrite) {
+			this.#record('commit', id, this.instance.database.commit(this.instance), shape);
+		} else {
+			this.#record('read', id, this.instance.position, shape);
+		}
+
+		return this.#complete(`signed ${id}`);
+	}
+
+	#commit(id: string): StatementOutcome {
+		if (this.#hasWritten && this.instance.role !== 'primary') {
+			return this.#refuse('not-primary');
+		}
+
+		if (this.#hasWritten) {
+			this.#record('commit', id, this.instance.database.commit(this.instance), undefined);
+		}
+
+		this.#state = 'idle';
+		this.#hasWritten = false;
+		return this.#complete(`signed ${id}`);
+	}
+
+	#record(kind: DatabaseEvent['kind'], requestId: string, position: LogPosition, shape: string | undefined): void {
+		this.instance.database.record({
+			kind, requestId, position, shape, instanceId: this.instance.id, account: this.account, values: new Map(this.values),
+		});
+	}
+
+	#complete(signature = '-'): StatementOutcome {
+		return {
+			kind: 'completed', rows: [], signature, state: this.#state, position: this.instance.position,
+		};
+	}
+
+	#refuse(error: InstanceErrorKind): StatementOutcome {
+		if (this.#state === 'in-transaction' && error !== 'busy') {
+			this.#state = 'failed-transaction';
+		}
+
+		return {
+			kind: 'error', error, message: 'planned', state: this.#state, position: this.instance.position,
+		};
+	}
+}
+
+async function pause(ms: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/tests/fakes/fake-table.ts
@@ -0,0 +1,108 @@
+import {type GatewayConfiguration} from '../../configuration/index.js';
+import {type Instance} from '../../instances/index.js';
+import {
+	type ConfigurationReading, type CoordinationTable, type SharedRow, type SharedRowWrite, type StoreResult, type WriteResult,
+} from '../../ports/index.js';
+
+/** How the store treats a VM. */
+export type StoreTrouble = 'none' | 'busy' | 'silent' | 'answers-lost';
+
+const answerMs = 4;
+
+/** The shared rows, instances and configuration of a test, with the store's troubles. */
+export class FakeStore {
+	readonly rows = new Map<string, SharedRow>();
+	instances: Instance[] = [];
+	configuration: GatewayConfiguration | undefined;
+	readonly troubles = new Map<string, StoreTrouble>();
+	trouble: StoreTrouble = 'none';
+	version = 0;
+	readonly waiting = new Set<() => void>();
+
+	setConfiguration(configuration: GatewayConfiguration): void {
+		this.version += 1;
+		this.configuration = configuration;
+		for (const wake of this.waiting) {
+			wake();
+		}
+	}
+
+	write(writes: readonly SharedRowWrite[]): WriteResult {
+		if (writes.some(write => (this.rows.get(write.key)?.version ?? 0) !== write.expectedVersion)) {
+			return {isApplied: false, version: 0};
+		}
+
+		this.version += 1;
+		for (const {key, value} of writes) {
+			if (value === undefined) {
+				this.rows.delete(key);
+			} else {
+				this.rows.set(key, {key, value, version: this.version});
+			}
+		}
+
+		return {isApplied: true, version: this.version};
+	}
+}
+
+/** The store as one VM reaches it. */
+export class FakeTable implements CoordinationTable {
+	constructor(private readonly vm: string, private readonly store: FakeStore) {}
+
+	async readSharedRows(timeoutMs: number): Promise<StoreResult<readonly SharedRow[]>> {
+		return this.#call(timeoutMs, () => [...this.store.rows.values()]);
+	}
+
+	async writeSharedRows(writes: readonly SharedRowWrite[], timeoutMs: number): Promise<StoreResult<WriteResult>> {
+		return this.#call(timeoutMs, () => this.store.write(writes), true);
+	}
+
+	async readInstances(timeoutMs: number): Promise<StoreResult<readonly Instance[]>> {
+		return this.#call(timeoutMs, () => [...this.store.instances]);
+	}
+
+	async readConfiguration(timeoutMs: number): Promise<StoreResult<ConfigurationReading>> {
+		return this.#call(timeoutMs, () => ({configuration: this.store.configuration, storeVersion: this.store.version}));
+	}
+
+	async pollConfiguration(afterVersion: number, waitMs: number, timeoutMs: number): Promise<StoreResult<ConfigurationReading>> {
+		if (this.store.version <= afterVersion) {
+			await new Promise<void>(resolve => {
+				const wake = () => {
+					this.store.waiting.delete(wake);
+					resolve();
+				};
+
+				this.store.waiting.add(wake);
+				setTimeout(wake, waitMs);
+			});
+		}
+
+		return this.readConfiguration(timeoutMs);
+	}
+
+	async #call<T>(timeoutMs: number, work: () => T, isWrite = false): Promise<StoreResult<T>> {
+		const trouble = this.store.trouble === 'none' ? this.store.troubles.get(this.vm) ?? 'none' : this.store.trouble;
+		if (trouble === 'busy') {
+			return {kind: 'failed', failure: {reason: 'busy', message: 'status 503'}};
+		}
+
+		if (trouble === 'answers-lost' && isWrite) {
+			work();
+		}
+
+		if (trouble === 'silent' || (trouble === 'answers-lost' && isWrite)) {
+			await pause(timeoutMs);
+			return {kind: 'failed', failure: {reason: 'lost', message: 'no answer'}};
+		}
+
+		await pause(answerMs);
+		return {kind: 'ok', value: work()};
+	}
+}
+
+async function pause(ms: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/tests/fakes/test-cluster.ts
@@ -0,0 +1,190 @@
+import {Writable} from 'node:stream';
+import {type Refusal} from '@chicorysaddle/model';
+import {type GatewayConfiguration} from '../../configuration/index.js';
+import {type CallerAnswer} from '../../ports/index.js';
+import {type CallerSession} from '../../sessions/index.js';
+import {type Statement} from '../../statements/index.js';
+import {createGateway, type WiredGateway} from '../../wiring/index.js';
+import {FakeConnector, FakeDatabase} from './fake-database.js';
+import {FakeNetwork, FakeSwitch} from './fake-network.js';
+import {FakeStore, FakeTable} from './fake-table.js';
+import {VirtualTime} from './virtual-time.js';
+
+/** Swallows what is logged. */
+class Sink extends Writable {
+	override _write(_chunk: unknown, _encoding: string, done: () => void): void {
+		done();
+	}
+}
+
+/** A caller's session in a test. */
+export class TestCaller {
+	rejection: Refusal | undefined;
+	isClosed = false;
+	readonly #session: CallerSession | undefined;
+	#count = 0;
+	#onAnswer: ((answer: CallerAnswer) => void) | undefined;
+
+	constructor(private readonly cluster: TestCluster, private readonly name: string, gateway: WiredGateway['gateway'], database: string, key: string) {
+		this.#session = gateway.openSession({connectionId: name, database, keyDigest: key}, {
+			sendReady() {
+				// The session is open as soon as it was returned.
+			},
+			sendAnswer: answer => {
+				this.#onAnswer?.(answer);
+			},
+			rejectSession: refusal => {
+				this.rejection = refusal;
+			},
+			close: () => {
+				this.isClosed = true;
+				this.#session?.observeClosed();
+			},
+		});
+	}
+
+	/** Id of the newest request. */
+	get requestId(): string {
+		return `${this.name}-${this.#count}`;
+	}
+
+	get session(): CallerSession {
+		return this.#session!;
+	}
+
+	/** Sends a statement without waiting. */
+	async send(statement: Statement): Promise<CallerAnswer> {
+		this.#count += 1;
+		return new Promise(resolve => {
+			this.#onAnswer = resolve;
+			this.#session!.receive({id: this.requestId, statement});
+		});
+	}
+
+	/** Sends a statement and waits for its answer. */
+	async ask(statement: Statement): Promise<CallerAnswer> {
+		return this.cluster.time.waitFor(this.send(statement));
+	}
+
+	leave(): void {
+		this.#session?.observeClosed();
+	}
+}
+
+/** Statements by their shortest names. */
+export const statements = {
+	read: {kind: 'read', text: 'READ x'},
+	write: {kind: 'write', text: 'WRITE x y'},
+	begin: {kind: 'begin', text: 'BEGIN', access: 'read-write'},
+	beginRead: {kind: 'begin', text: 'BEGIN READ', access: 'read-only'},
+	commit: {kind: 'commit', text: 'COMMIT'},
+	rollBack: {kind: 'roll-back', text: 'ROLLBACK'},
+} as const satisfies Record<string, Statement>;
+
+/** Returns the kind of a refusal, or what the answer was instead. */
+export function describeAnswer(answer: CallerAnswer): string {
+	return answer.result.kind === 'refused' ? answer.result.refusal.kind : answer.result.signature ?? 'acknowledged';
+}
+
+const accountNames = ['small', 'large'];
+
+/** Creates a configuration with one group, a route of each kind, and two accounts whose keys are their names. */
+export function createConfiguration(version: number, changes: Partial<GatewayConfiguration> = {}): GatewayConfiguration {
+	const route = {
+		group: 'db', statementTimeoutMs: 800, targetLatencyMs: 200, priority: 1, allowsAnonymous: false,
+	};
+	return {
+		version,
+		routes: [
+			{
+				...route, name: 'r1', database: 'strict', consistency: 'primary', maxStalenessMs: 0,
+			},
+			{
+				...route, name: 'r2', database: 'bounded', consistency: 'bounded', maxStalenessMs: 1500,
+			},
+			{
+				...route, name: 'r3', database: 'own', consistency: 'read-your-writes', maxStalenessMs: 2500,
+			},
+			{
+				...route, name: 'r4', database: 'open', consistency: 'primary', maxStalenessMs: 0, allowsAnonymous: true,
+			},
+		],
+		groups: [{name: 'db', maxConnections: 30}],
+		accounts: accountNames.map(name => ({
+			name, keyDigests: [name], priority: 1, ratePerS: 100, burst: 100,
+		})),
+		transactionIdleMs: 3000,
+		maxStatementBytes: 100_000,
+		...changes,
+	};
+}
+
+/** Several gateways before one group, in virtual time. */
+export class TestCluster {
+	readonly time = new VirtualTime();
+	readonly store = new FakeStore();
+	readonly network = new FakeSwitch();
+	readonly database: FakeDatabase;
+	readonly gateways = new Map<string, WiredGateway>();
+	readonly connectors = new Map<string, FakeConnector>();
+	#callers = 0;
+	#incarnations = 0;
+
+	constructor(private readonly vms: readonly string[] = ['vm1', 'vm2', 'vm3']) {
+		this.database = new FakeDatabase('db', 3, () => this.time.now(), {
+			serviceMs: 10, lagMs: 20, promoteMs: 500, maxConnections: 30,
+		});
+	}
+
+	/** Starts all VMs and waits until they may use the primary. */
+	async start(configuration = createConfiguration(1)): Promise<void> {
+		this.store.setConfiguration(configuration);
+		this.store.instances = this.database.describeInstances();
+		for (const vm of this.vms) {
+			await this.startVm(vm);
+		}
+
+		await this.time.advance(3000);
+	}
+
+	async startVm(vm: string): Promise<void> {
+		this.#incarnations += 1;
+		const connector = new FakeConnector(vm, [this.database]);
+		const gateway = createGateway({
+			vm, zone: 'a', incarnation: `run-${this.#incarnations}`, peerAddress: `${vm}:1`, seeds: this.vms.map(name => `${name}:1`),
+		}, {
+			clock: this.time, table: new FakeTable(vm, this.store), connector, promotion: this.database, network: new FakeNetwork(vm, this.network), drainMs: 7000, logOutput: new Sink(),
+		});
+		this.gateways.set(vm, gateway);
+		this.connectors.set(vm, connector);
+		await gateway.gateway.start();
+	}
+
+	/** Opens a session on a VM. */
+	openSession(vm: string, database: string, key = 'large'): TestCaller {
+		this.#callers += 1;
+		return new TestCaller(this, `q${this.#callers}`, this.gateways.get(vm)!.gateway, database, key);
+	}
+
+	getGateway(vm: string): WiredGateway {
+		return this.gateways.get(vm)!;
+	}
+
+	/** Returns the VM that holds the coordinator's row. */
+	getCoordinator(): string {
+		return (JSON.parse(this.store.rows.get('coordinator')!.value) as {holder: string}).holder;
+	}
+
+	/** Returns the row of the group. */
+	getTermRow(): {term: number; primaryId: string; phase: string} {
+		return JSON.parse(this.store.rows.get('group/db')!.value) as {term: number; primaryId: string; phase: string};
+	}
+
+	stop(): void {
+		for (const {gateway} of this.gateways.values()) {
+			gateway.stop();
+		}
+
+		this.time.stop();
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/tests/sessions/sessions.test.ts
@@ -0,0 +1,217 @@
+import test from 'ava';
+import {type Statement} from '../../statements/index.js';
+import {
+	createConfiguration, describeAnswer, statements, TestCluster,
+} from '../fakes/test-cluster.js';
+
+const {read, write, begin, beginRead, commit, rollBack} = statements;
+
+test.serial('reads on a bounded route are spread over the replicas, those on a primary route go to the primary', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const writer = cluster.openSession('vm1', 'strict');
+	await writer.ask(write);
+	await cluster.time.advance(100);
+	const readers = Array.from({length: 12}, () => cluster.openSession('vm1', 'bounded'));
+	await cluster.time.waitFor(Promise.all(readers.map(async reader => reader.send(read))));
+	const bounded = cluster.database.events.filter(event => event.kind === 'read');
+	t.true(bounded.filter(event => event.instanceId !== 'db-1').length >= 6);
+	await writer.ask(read);
+	t.is(cluster.database.events.at(-1)!.instanceId, 'db-1');
+	cluster.stop();
+});
+
+test.serial('a session reads its own writes although replicas lag far behind', async t => {
+	const cluster = new TestCluster();
+	cluster.database.options.lagMs = 4000;
+	await cluster.start();
+	const session = cluster.openSession('vm1', 'own');
+	for (let round = 0; round < 5; round++) {
+		await session.ask(write);
+		await session.ask(read);
+		const [written, seen] = cluster.database.events.slice(-2);
+		t.true(seen!.position.offset >= written!.position.offset);
+	}
+
+	cluster.stop();
+});
+
+test.serial('a bounded read never runs on a log that lacks what was committed before the bound', async t => {
+	const cluster = new TestCluster();
+	cluster.database.options.lagMs = 2500;
+	await cluster.start();
+	const writer = cluster.openSession('vm2', 'strict');
+	const reader = cluster.openSession('vm1', 'bounded');
+	for (let round = 0; round < 30; round++) {
+		await writer.ask(write);
+		const startedAt = cluster.time.now();
+		await reader.ask(read);
+		const commits = cluster.database.events.filter(event => event.kind === 'commit' && event.at < startedAt - 1500);
+		const seen = cluster.database.events.findLast(event => event.kind === 'read')!;
+		t.true(commits.every(event => event.position.offset <= seen.position.offset));
+		await cluster.time.advance(100);
+	}
+
+	cluster.stop();
+});
+
+test.serial('a transaction stays on one connection, and other callers never run inside it', async t => {
+	const cluster = new TestCluster(['vm1']);
+	await cluster.start(createConfiguration(1, {groups: [{name: 'db', maxConnections: 2}]}));
+	const first = cluster.openSession('vm1', 'strict');
+	t.is(describeAnswer(await first.ask(begin)), 'acknowledged');
+	t.is(describeAnswer(await first.ask(write)), 'signed q1-2');
+	const second = cluster.openSession('vm1', 'strict');
+	t.is(describeAnswer(await second.ask(write)), 'signed q2-1');
+	t.is(cluster.database.events.length, 1, 'the first write is not committed yet');
+	const answer = await first.ask(commit);
+	t.is(describeAnswer(answer), 'signed q1-3');
+	t.is(answer.state, 'idle');
+	t.is(cluster.database.events.length, 2);
+	cluster.stop();
+});
+
+test.serial('session values and prepared statements hold on whatever connection a statement runs', async t => {
+	const cluster = new TestCluster(['vm1']);
+	await cluster.start(createConfiguration(1, {groups: [{name: 'db', maxConnections: 1}]}));
+	const sessions = ['red', 'blue'].map(color => ({color, session: cluster.openSession('vm1', 'strict')}));
+	for (const {color, session} of sessions) {
+		await session.ask({
+			kind: 'set', text: 'SET color x', name: 'color', value: color,
+		});
+		await session.ask({
+			kind: 'prepare', text: 'PREPARE s READ shape', name: 's', access: 'read', shape: `shape-${color}`,
+		});
+	}
+
+	const execute: Statement = {
+		kind: 'execute', text: 'EXECUTE s 1', name: 's', parameters: '1',
+	};
+	for (let round = 0; round < 4; round++) {
+		for (const {color, session} of sessions) {
+			t.is(describeAnswer(await session.ask(execute)), `signed ${session.requestId}`);
+			const event = cluster.database.events.at(-1)!;
+			t.is(event.values.get('color'), color);
+			t.is(event.shape, `read shape-${color}`);
+		}
+	}
+
+	const plain = cluster.openSession('vm1', 'strict');
+	await plain.ask(read);
+	t.is(cluster.database.events.at(-1)!.values.size, 0);
+	t.is(describeAnswer(await plain.ask(execute)), 'prepared-not-found');
+	cluster.stop();
+});
+
+test.serial('a write whose answer is lost is unknown and not sent again, a read is sent again', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const session = cluster.openSession('vm1', 'strict');
+	cluster.database.planned.push({kind: 'write', error: 'lost-after'}, {kind: 'read', error: 'lost-before'}, {kind: 'read', error: 'failed'});
+	t.is(describeAnswer(await session.ask(write)), 'outcome-unknown');
+	t.is(cluster.database.events.filter(event => event.kind === 'commit').length, 1);
+	t.is(describeAnswer(await session.ask(read)), 'signed q1-2');
+	cluster.stop();
+});
+
+test.serial('a statement that the instance says it did not run is sent again', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const session = cluster.openSession('vm1', 'strict');
+	cluster.database.planned.push({kind: 'write', error: 'busy'}, {kind: 'write', error: 'busy'});
+	t.is(describeAnswer(await session.ask(write)), 'signed q1-1');
+	t.is(cluster.database.events.length, 1);
+	cluster.stop();
+});
+
+test.serial('a transaction whose connection breaks before its commit is rolled back, one that breaks at it is unknown', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const session = cluster.openSession('vm1', 'strict');
+	await session.ask(begin);
+	cluster.database.planned.push({kind: 'write', error: 'lost-after'});
+	const broken = await session.ask(write);
+	t.is(describeAnswer(broken), 'transaction-lost');
+	t.is(broken.state, 'failed-transaction');
+	t.is(describeAnswer(await session.ask(read)), 'invalid-request');
+	t.is((await session.ask(rollBack)).state, 'idle');
+	await session.ask(begin);
+	await session.ask(write);
+	cluster.database.planned.push({kind: 'commit', error: 'lost-after'});
+	t.is(describeAnswer(await session.ask(commit)), 'outcome-unknown');
+	await session.ask(beginRead);
+	await session.ask(read);
+	cluster.database.planned.push({kind: 'commit', error: 'lost-after'});
+	t.is(describeAnswer(await session.ask(commit)), 'transaction-lost', 'nothing was written');
+	cluster.stop();
+});
+
+test.serial('a commit after a failed statement is refused as rolled back', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const session = cluster.openSession('vm1', 'strict');
+	await session.ask(begin);
+	cluster.database.planned.push({kind: 'write', error: 'failed'});
+	t.is(describeAnswer(await session.ask(write)), 'statement-failed');
+	const answer = await session.ask(commit);
+	t.is(describeAnswer(answer), 'transaction-lost');
+	t.is(answer.state, 'idle');
+	t.is(cluster.database.events.length, 0);
+	cluster.stop();
+});
+
+test.serial('a caller that leaves rolls its transaction back and frees the connection', async t => {
+	const cluster = new TestCluster(['vm1']);
+	await cluster.start(createConfiguration(1, {groups: [{name: 'db', maxConnections: 1}]}));
+	const leaver = cluster.openSession('vm1', 'strict');
+	await leaver.ask(begin);
+	await leaver.ask(write);
+	leaver.leave();
+	await cluster.time.advance(50);
+	t.is(describeAnswer(await cluster.openSession('vm1', 'strict').ask(write)), 'signed q2-1');
+	t.is(cluster.database.events.length, 1);
+	cluster.stop();
+});
+
+test.serial('a transaction that rests too long is ended and says so', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const session = cluster.openSession('vm1', 'strict');
+	await session.ask(begin);
+	await session.ask(write);
+	await cluster.time.advance(3500);
+	t.is(describeAnswer(await session.ask(commit)), 'transaction-lost');
+	t.is(cluster.database.events.length, 0);
+	cluster.stop();
+});
+
+test.serial('unknown databases and keys are rejected, and a withdrawn key ends its sessions', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	t.is(cluster.openSession('vm1', 'nowhere').rejection!.kind, 'unknown-route');
+	t.is(cluster.openSession('vm1', 'strict', 'nobody').rejection!.kind, 'unauthenticated');
+	t.is(describeAnswer(await cluster.openSession('vm1', 'open', 'nobody').ask(read)), 'signed q3-1');
+	const idle = cluster.openSession('vm1', 'strict', 'small');
+	const busy = cluster.openSession('vm2', 'strict', 'small');
+	await busy.ask(begin);
+	await busy.ask(write);
+	const accounts = createConfiguration(2).accounts.filter(account => account.name !== 'small');
+	cluster.store.setConfiguration(createConfiguration(2, {accounts}));
+	await cluster.time.advance(1500);
+	t.true(idle.isClosed);
+	t.is(describeAnswer(await busy.ask(commit)), 'unauthenticated');
+	t.is(cluster.database.events.filter(event => event.kind === 'commit').length, 0);
+	cluster.stop();
+});
+
+test.serial('instances are told the account, never the key', async t => {
+	const cluster = new TestCluster();
+	await cluster.start(createConfiguration(1, {
+		accounts: [{
+			name: 'agency', keyDigests: ['secret'], priority: 1, ratePerS: 10, burst: 10,
+		}],
+	}));
+	await cluster.openSession('vm1', 'strict', 'secret').ask(write);
+	t.is(cluster.database.events[0]!.account, 'agency');
+	cluster.stop();
+});
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -6,9 +6,9 @@
 import {InstanceKeeper, InstanceRegistry} from '../instances/index.js';
 import {Gateway} from '../lifecycle/index.js';
 import {AccountLimiter} from '../limits/index.js';
-import {DecisionLog, GatewayMetrics} from '../observability/index.js';
+import {DecisionLog, GatewayMetrics, type LogOutput} from '../observability/index.js';
 import {
-	type Clock, type CoordinationTable, type InstanceConnector, type PromotionService,
+	type Clock, type CoordinationTable, type InstanceConnector, type PeerNetwork, type PromotionService,
 } from '../ports/index.js';
 import {type SessionServices} from '../sessions/index.js';
 import {TermRegistry} from '../terms/index.js';
@@ -19,8 +19,11 @@
 	readonly table: CoordinationTable;
 	readonly connector: InstanceConnector;
 	readonly promotion: PromotionService;
+	readonly network: PeerNetwork;
 	/** Time for which an instance that is draining may still be sent work, milliseconds. */
 	readonly drainMs: number;
+	/** Where the log goes; standard output where it is absent. */
+	readonly logOutput?: LogOutput;
 };
 
 /** Time until a VM may have learnt that an instance is draining, with the way of its last statement, milliseconds. */
@@ -31,13 +34,14 @@
 	readonly gateway: Gateway;
 	readonly log: DecisionLog;
 	readonly metrics: GatewayMetrics;
+	readonly terms: TermRegistry;
 };
 
 /** Wires the parts of a gateway; it is the only place that does. */
 export function createGateway(identity: GatewayIdentity, {
-	clock, table, connector, promotion, drainMs,
+	clock, table, connector, promotion, network, drainMs, logOutput,
 }: GatewayPorts): WiredGateway {
-	const log = new DecisionLog(identity.vm);
+	const log = new DecisionLog(identity.vm, logOutput);
 	const metrics = new GatewayMetrics();
 	const configuration = new ConfigurationView();
 	const configurationKeeper = new ConfigurationKeeper(table, configuration, log);
@@ -54,10 +58,12 @@
 		vm: identity.vm, duty, coordinator, terms, instances, configuration, dispatcher, table, connector, service: promotion, clock, log, metrics,
 	});
 	const member = new ClusterMember({
-		identity, duty, coordinator, promoter, terms, configuration, keeper: configurationKeeper, instances, instanceKeeper, dispatcher, limiter, table, clock, log,
+		identity, duty, coordinator, promoter, terms, configuration, keeper: configurationKeeper, instances, instanceKeeper, dispatcher, limiter, table, network, clock, log,
 	});
 	const services: SessionServices = {
 		configuration, dispatcher, limiter, terms, clock, log, metrics,
 	};
-	return {gateway: new Gateway(services, instances, configurationKeeper, instanceKeeper, member), log, metrics};
+	return {
+		gateway: new Gateway(services, instances, configurationKeeper, instanceKeeper, member), log, metrics, terms,
+	};
 }
