Overload of one instance no longer feeds itself; the coordinator is a VM that can carry it

Ruled out: the promotion itself (1.55 s), slots of the other groups. Change: pauses after BUSY or MAXCONN double, differ between VMs, and one statement at a time is sent until room is back; a busy primary is not judged dead for not answering STATUS; VMs read a new configuration from the store, from peers only when it turns them away; VMs of more capacity coordinate first, and one whose loop lags resigns.

--- a/packages/gateway/src/configuration/configuration-keeper.ts
+++ b/packages/gateway/src/configuration/configuration-keeper.ts
@@ -20,6 +20,7 @@
 	#isStopped = false;
 	#isStoreAway = false;
 	#isFollowing = true;
+	#isRefreshing = false;
 	#wake: (() => void) | undefined;
 	readonly #listeners: Array<(configuration: GatewayConfiguration) => void> = [];
 
@@ -36,6 +37,26 @@
 		this.#listeners.push(listener);
 	}
 
+	/**
+	 * Reads the configuration once, after another VM told of a newer one.
+	 * @param version - Version that there is.
+	 * @returns Whether that version, or a newer one, is in force now.
+	 */
+	async refresh(version: number): Promise<boolean> {
+		if (this.#isFollowing || this.#isRefreshing) {
+			return true;
+		}
+
+		this.#isRefreshing = true;
+		const result = await this.table.readConfiguration(callTimeoutMs);
+		this.#isRefreshing = false;
+		if (result.kind === 'ok' && result.value.configuration !== undefined) {
+			this.#apply(result.value.configuration, 'store');
+		}
+
+		return this.view.version >= version;
+	}
+
 	/** Reads and follows the configuration until it is stopped. */
 	async run(): Promise<void> {
 		while (!this.#isStopped) {
--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -1,6 +1,6 @@
 import {type Moment} from '@chicorysaddle/decisions';
 import {
-	type Heartbeat, type parsePeerMessage, type PeerMessage, type Report, type TokenGrants, type TokenWants,
+	type Heartbeat, type parsePeerMessage, type Report, type TokenGrants, type TokenWants,
 } from '@chicorysaddle/protocol/coordination';
 import {type ConfigurationKeeper, type ConfigurationView} from '../configuration/index.js';
 import {type Dispatcher} from '../dispatch/index.js';
@@ -34,6 +34,24 @@
 /** Interval at which the store is asked while no coordinator answers, milliseconds. */
 const storePollMs = 400;
 
+/** Time by which the VM of least capacity waits longer to coordinate, milliseconds. */
+const weakestWaitMs = 1000;
+
+/** Average delay of the loop above which a VM does not coordinate, milliseconds: answers about tokens would come too late. */
+const resignLagMs = 60;
+
+/** Weight of the newest delay in the average: about a second of ticks. */
+const lagWeight = 0.05;
+
+/** Least time for which a coordinator stays, milliseconds. */
+const leastHoldMs = 3000;
+
+/** Time for which a VM that was too slow does not coordinate again, milliseconds. */
+const restMs = 15_000;
+
+/** Time for which a VM that follows the store waits for a version that another has, milliseconds. */
+const followerPatienceMs = 300;
+
 /** Time for an answer about tokens, milliseconds: several round trips within a region. */
 const tokenTimeoutMs = 150;
 
@@ -93,6 +111,11 @@
 	#isUrgent = false;
 	#isPushDue = false;
 	#isLeaving = false;
+	#vacantSince: number | undefined;
+	#tickedAt = 0;
+	#lagMs = 0;
+	#restUntil = 0;
+	#isFollower = false;
 	#instanceRevision: string | undefined;
 	#tokenSequence = 0;
 	readonly #tokenRequests = new Map<number, (grants: TokenGrants) => void>();
@@ -168,6 +191,7 @@
 
 	#tick(): void {
 		const now = this.parts.clock.now();
+		this.#watchLag(now);
 		if (this.parts.duty.isHeld()) {
 			this.#coordinate(now);
 			return;
@@ -414,7 +438,7 @@
 		this.parts.duty.observeVersion(report.dutyRevision);
 		this.#echo = {stampMs: report.stampMs, receivedAt: now};
 		if (report.configurationVersion > this.parts.configuration.version) {
-			this.#link?.send({kind: 'configuration-request'} satisfies PeerMessage);
+			void this.#refreshConfiguration(report.configurationVersion);
 		}
 
 		this.#applyReport(report);
@@ -430,7 +454,21 @@
 		}
 	}
 
+	/** Gets a newer configuration: from the store, or from the coordinator when the store turns this VM away. */
+	async #refreshConfiguration(version: number): Promise<void> {
+		const isFollower = this.#isFollower;
+		if (isFollower || !await this.parts.keeper.refresh(version)) {
+			await new Promise(resolve => {
+				setTimeout(resolve, isFollower ? followerPatienceMs : 0);
+			});
+			if (this.parts.configuration.version < version) {
+				this.#link?.send({kind: 'configuration-request'});
+			}
+		}
+	}
+
 	#applyReport(report: Report): void {
+		this.#isFollower = report.isFollower;
 		this.parts.limiter.setMembers(report.members);
 		this.parts.dispatcher.setMembers(report.members);
 		this.parts.keeper.setFollowing(report.isFollower);
@@ -490,6 +528,26 @@
 		}
 	}
 
+	/** Lets VMs of more capacity go first: the coordinator answers all others. */
+	#isTurn(): boolean {
+		const now = this.parts.clock.now();
+		this.#vacantSince ??= now;
+		return now - this.#vacantSince >= (1 - this.parts.identity.capacity) * weakestWaitMs;
+	}
+
+	/** Gives the coordination up when this process is too slow to answer the others. */
+	#watchLag(now: number): void {
+		const lagMs = Math.max(0, now - this.#tickedAt - tickMs);
+		this.#tickedAt = now;
+		this.#lagMs += (Math.min(lagMs, resignLagMs * 4) - this.#lagMs) * lagWeight;
+		if (this.#lagMs > resignLagMs && this.parts.duty.isHeld() && !this.parts.promoter.isBusy && this.parts.coordinator.countHeard() > 1 && now - this.parts.duty.tookOverAt > leastHoldMs) {
+			this.parts.log.logState('coordinator.slow', {lagMs: Math.round(this.#lagMs)});
+			this.#lagMs = 0;
+			this.#restUntil = now + restMs;
+			void this.parts.duty.resign();
+		}
+	}
+
 	async #register(): Promise<void> {
 		const result = await this.parts.table.readSharedRows(callTimeoutMs);
 		if (result.kind === 'failed') {
@@ -520,13 +578,14 @@
 
 		this.parts.limiter.setMembers(state.members.size);
 		this.parts.dispatcher.setMembers(state.members.size);
+		this.#vacantSince = this.parts.duty.isVacant(state.duty) ? this.#vacantSince : undefined;
 		this.#coordinator = state.duty;
 		this.#hint = undefined;
 		if (state.duty !== undefined) {
 			this.parts.duty.resume(state.duty, at);
 		}
 
-		if (this.#isRegistered && !this.#isLeaving && !this.parts.duty.isHeld() && this.parts.duty.isVacant(state.duty) && await this.parts.duty.takeOver(state.duty)) {
+		if (this.#isRegistered && !this.#isLeaving && at.steady >= this.#restUntil && !this.parts.duty.isHeld() && this.parts.duty.isVacant(state.duty) && this.#isTurn() && await this.parts.duty.takeOver(state.duty)) {
 			this.parts.coordinator.setRegistered(new Set(state.members.keys()));
 			this.parts.coordinator.setInstances([...this.parts.instances.getAll()], this.parts.clock.now());
 		}
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -29,6 +29,9 @@
 /** Time for which a planned change of primary waits for its successor to catch up, milliseconds. */
 const catchUpMs = 1500;
 
+/** Time for which a busy instance is asked again, milliseconds. */
+const busyPatienceMs = 800;
+
 /** Interval of questions while something is waited for, milliseconds. */
 const pollMs = 30;
 
@@ -133,10 +136,11 @@
 		return isPrimaryDead(term.primaryId, evidence, this.parts.coordinator.countHeard(), this.parts.clock.now()) ? 'crashed' : undefined;
 	}
 
+	/** Says whether a primary that VMs miss answers after all, if only that it has no room. */
 	async #answers(term: GroupTerm): Promise<boolean> {
 		const instance = this.parts.instances.getInstance(term.primaryId);
-		const reading = instance === undefined ? undefined : await this.#readStatus(instance);
-		return reading?.status.role === 'primary';
+		const reading = instance === undefined ? 'unreachable' : await this.#readStatus(instance);
+		return reading === 'busy' || (reading !== 'unreachable' && reading.status.role === 'primary');
 	}
 
 	async #recordFirstPrimary(group: string): Promise<void> {
@@ -235,7 +239,7 @@
 		let reading: InstanceReading | undefined = candidate;
 		while (reading !== undefined && comparePositions(reading.status.position, former.status.position) < 0 && this.parts.clock.now() < deadline) {
 			await pause(pollMs);
-			reading = await this.#readStatus(candidate.instance);
+			reading = await this.#readPatiently(candidate.instance);
 		}
 	}
 
@@ -268,7 +272,7 @@
 
 	async #waitUntilLeading(closed: GroupTerm, instance: Instance, deadline: number): Promise<InstanceReading | undefined> {
 		while (this.parts.clock.now() < deadline) {
-			const reading = await this.#readStatus(instance);
+			const reading = await this.#readPatiently(instance);
 			if (reading?.status.role === 'primary' && reading.status.term > closed.term) {
 				return reading;
 			}
@@ -292,20 +296,42 @@
 	}
 
 	async #readAll(instances: readonly Instance[]): Promise<InstanceReading[]> {
-		const readings = await Promise.all(instances.map(async instance => this.#readStatus(instance)));
+		const readings = await Promise.all(instances.map(async instance => this.#readPatiently(instance)));
 		return readings.filter(reading => reading !== undefined);
 	}
 
-	async #readStatus(instance: Instance): Promise<InstanceReading | undefined> {
+	/** Asks an instance until it has room to answer. */
+	async #readPatiently(instance: Instance): Promise<InstanceReading | undefined> {
+		const deadline = this.parts.clock.now() + busyPatienceMs;
+		for (;;) {
+			const reading = await this.#readStatus(instance);
+			if (reading !== 'busy') {
+				return reading === 'unreachable' ? undefined : reading;
+			}
+
+			if (this.parts.clock.now() >= deadline) {
+				return undefined;
+			}
+
+			await pause(pollMs);
+		}
+	}
+
+	async #readStatus(instance: Instance): Promise<InstanceReading | 'busy' | 'unreachable'> {
 		const result = await this.parts.connector.open(instance, controlAccount, statusTimeoutMs);
 		if (result.kind === 'failed') {
-			return undefined;
+			const {reason} = result.failure;
+			return reason === 'busy' || reason === 'connection-limit' ? 'busy' : 'unreachable';
 		}
 
 		const [outcome] = await result.connection.run([{statement: {kind: 'control-status'}}], statusTimeoutMs);
 		const status = outcome === undefined ? undefined : result.connection.parseStatus(outcome);
 		result.connection.close();
-		return status === undefined ? undefined : {instance, status};
+		if (status !== undefined) {
+			return {instance, status};
+		}
+
+		return outcome?.kind === 'error' ? 'busy' : 'unreachable';
 	}
 }
 
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -61,6 +61,8 @@
 	readonly clock: Clock;
 	readonly metrics: GatewayMetrics;
 	readonly log: DecisionLog;
+	/** Returns numbers from zero up to one. */
+	readonly random: () => number;
 	/** Time for which a primary that is draining may be used, milliseconds. */
 	readonly drainUseMs: number;
 };
@@ -261,6 +263,10 @@
 	}
 
 	#findWay(pool: InstancePool, {request, isOpening}: Waiter, mayEvict: boolean, isPrimary: boolean): Candidate | undefined {
+		if (pool.tracker.isSaturated()) {
+			return undefined;
+		}
+
 		const idle = pool.findIdle(request.account);
 		const isPossible = idle !== undefined || (!isOpening && pool.canOpen(this.#getLimit(pool.instance), mayEvict));
 		return isPossible ? {pool, idle, isPrimary} : undefined;
--- a/packages/gateway/src/dispatch/instance-pool.ts
+++ b/packages/gateway/src/dispatch/instance-pool.ts
@@ -7,15 +7,14 @@
 /** Time within which a connection has to be open, milliseconds: a handshake behind a full queue at a busy instance. */
 const connectTimeoutMs = 1500;
 
-/** Time for which a pool that met the instance's limit opens nothing, milliseconds. */
-const limitHoldMs = 60;
-
 /** What a pool works with. */
 export type InstancePoolParts = {
 	readonly connector: InstanceConnector;
 	readonly clock: Clock;
 	readonly metrics: GatewayMetrics;
 	readonly log: DecisionLog;
+	/** Returns numbers from zero up to one. */
+	readonly random: () => number;
 	/** Called when a connection is free again, or gone. */
 	readonly onFreed: () => void;
 };
@@ -28,7 +27,7 @@
 	#isClosed = false;
 
 	constructor(readonly instance: Instance, private readonly parts: InstancePoolParts) {
-		this.tracker = new InstanceTracker(instance, parts.log);
+		this.tracker = new InstanceTracker(instance, parts.log, parts.random);
 	}
 
 	/** Statements and transactions that hold a connection. */
@@ -41,6 +40,11 @@
 		return count;
 	}
 
+	/** Whether a connection is being opened. */
+	get isOpening(): boolean {
+		return this.#opening > 0;
+	}
+
 	get connectionCount(): number {
 		return this.#connections.size + this.#opening;
 	}
@@ -183,7 +187,7 @@
 		this.parts.metrics.addCount(`connect_failed_${failure.reason}`);
 		if (failure.reason === 'connection-limit' || failure.reason === 'busy') {
 			this.tracker.observeAnswer(now);
-			this.tracker.hold(now + limitHoldMs);
+			this.tracker.observeFull(now);
 		} else {
 			this.tracker.observeFailure(failure.reason === 'silent' ? 'silent' : 'refused', startedAt, now);
 		}
--- a/packages/gateway/src/dispatch/instance-tracker.ts
+++ b/packages/gateway/src/dispatch/instance-tracker.ts
@@ -2,7 +2,7 @@
 import {isAtLeast, type LogPosition} from '@chicorysaddle/model';
 import {type Instance} from '../instances/index.js';
 import {type DecisionLog} from '../observability/index.js';
-import {type InstanceErrorKind, type StatementOutcome} from '../statements/index.js';
+import {type StatementOutcome} from '../statements/index.js';
 
 /** Service time that is assumed of an instance before one was measured, milliseconds. */
 const initialLatencyMs = 10;
@@ -19,8 +19,14 @@
 /** Time between two attempts at an instance that cannot be reached, milliseconds. */
 const failureHoldMs = 150;
 
-/** Time for which an instance is left alone after an error, milliseconds: about a service time, or the spread of a new term. */
-const errorHoldMs: Partial<Readonly<Record<InstanceErrorKind, number>>> = {busy: 15, 'not-primary': 50};
+/** Time for which an instance is left alone that says it does not lead, milliseconds: the spread of a new term. */
+const notPrimaryHoldMs = 50;
+
+/** Shortest pause after an instance had no room, milliseconds: about a service time. */
+const shortestPauseMs = 15;
+
+/** Longest such pause, milliseconds: all VMs together then ask no more often than an instance of a few slots serves. */
+const longestPauseMs = 480;
 
 /** What this VM has learnt of one instance. */
 export class InstanceTracker {
@@ -34,8 +40,11 @@
 	#failedAt = Number.NEGATIVE_INFINITY;
 	#isRefused = false;
 	#heldUntil = 0;
+	#fullCount = 0;
+	#inFlight = 0;
 
-	constructor(readonly instance: Instance, private readonly log: DecisionLog) {}
+	/** @param random - Returns numbers from zero up to one. */
+	constructor(readonly instance: Instance, private readonly log: DecisionLog, private readonly random: () => number) {}
 
 	get failingSince(): number | undefined {
 		return this.#failingSince;
@@ -69,8 +78,11 @@
 			this.#latencyMs += averageWeight * (now - sentAt - this.#latencyMs);
 			this.#usedAt = now;
 			this.#laggingShare *= 1 - averageWeight;
-		} else {
-			this.#heldUntil = Math.max(this.#heldUntil, now + (errorHoldMs[outcome.error] ?? 0));
+			this.#fullCount = Math.max(0, this.#fullCount - 1);
+		} else if (outcome.error === 'busy') {
+			this.observeFull(now);
+		} else if (outcome.error === 'not-primary') {
+			this.#heldUntil = Math.max(this.#heldUntil, now + notPrimaryHoldMs);
 		}
 	}
 
@@ -101,9 +113,21 @@
 		this.#failedAt = now;
 	}
 
-	/** Holds new connections off for a while. */
-	hold(until: number): void {
-		this.#heldUntil = Math.max(this.#heldUntil, until);
+	/** Takes in that the instance had no room: pauses double while that goes on, and differ between VMs. */
+	observeFull(now: number): void {
+		const pauseMs = Math.min(longestPauseMs, shortestPauseMs * (2 ** this.#fullCount));
+		this.#fullCount = Math.min(this.#fullCount + 1, 8);
+		this.#heldUntil = Math.max(this.#heldUntil, now + (pauseMs * (0.5 + this.random())));
+	}
+
+	/** Takes in that a statement was sent, or its outcome came. */
+	observeInFlight(change: 1 | -1): void {
+		this.#inFlight += change;
+	}
+
+	/** Says whether the instance had no room lately, and has a statement of this VM to answer first. */
+	isSaturated(): boolean {
+		return this.#fullCount > 1 && this.#inFlight > 0;
 	}
 
 	/** Says whether the instance may be tried now. */
--- a/packages/gateway/src/tests/fakes/test-cluster.ts
+++ b/packages/gateway/src/tests/fakes/test-cluster.ts
@@ -151,7 +151,7 @@
 		this.#incarnations += 1;
 		const connector = new FakeConnector(vm, [this.database]);
 		const gateway = createGateway({
-			vm, zone: 'a', incarnation: `run-${this.#incarnations}`, peerAddress: `${vm}:1`, seeds: this.vms.map(name => `${name}:1`),
+			vm, zone: 'a', incarnation: `run-${this.#incarnations}`, peerAddress: `${vm}:1`, seeds: this.vms.map(name => `${name}:1`), capacity: 1,
 		}, {
 			clock: this.time, table: new FakeTable(vm, this.store), connector, promotion: this.database, network: new FakeNetwork(vm, this.network), drainMs: 7000, logOutput: new Sink(),
 		});
