--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -3,3 +3,4 @@
 export * from './row-commands.js';
 export * from './view-commands.js';
 export * from './top-command.js';
+export * from './explain-command.js';
--- /dev/null
+++ b/packages/cli/src/explain/index.ts
@@ -0,0 +1,2 @@
+export * from './log-line.js';
+export * from './explain-request.js';
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import sade from 'sade';
 import {
-	applySheetFile, checkSheet, type CommonFlags, createAccount, type EndpointFlags, exitCodes, giveKey, joinEndpoint, leaveEndpoint, limitAccount, type LimitFlags,
+	applySheetFile, checkSheet, type CommonFlags, createAccount, type EndpointFlags, exitCodes, explain, giveKey, joinEndpoint, leaveEndpoint, limitAccount, type LimitFlags,
 	listAccounts, planSheetFile, showConfiguration, showHistory, showStatus, showTop, type TopFlags, withdrawKey,
 } from './commands/index.js';
 
@@ -71,6 +71,9 @@
 	.option('--every', 'Seconds between two pictures', 2)
 	.option('--rounds', 'Number of pictures; without end where absent')
 	.action(async (flags: TopFlags) => finish(showTop(flags)));
+program.command('explain <id>', 'Print what led to the answer of a request, from logs: files, or standard input')
+	.example('explain 5c0e7a21d94b36f8 vm-1.log vm-2.log')
+	.action(async (id: string, flags: CommonFlags & {readonly _: readonly string[]}) => finish(explain(id, flags._)));
 program.command('config show', 'Print the configuration in force')
 	.action(async (flags: CommonFlags) => finish(showConfiguration(flags)));
 program.command('config history', 'Print the latest changes')
--- /dev/null
+++ b/packages/decisions/src/tests/limits/token-issuer.test.ts
@@ -0,0 +1,72 @@
+import fc from 'fast-check';
+import test from 'ava';
+import {TokenIssuer} from '../../limits/index.js';
+
+const limit = {ratePerS: 20, burst: 20};
+
+function ask(issuer: TokenIssuer, vm: string, now: number, needed = 1, extra = 0, silent: string[] = []) {
+	return issuer.issue({
+		vm, account: 'agency', want: {needed, extra}, limit,
+	}, silent, now);
+}
+
+test('a refusal says when there is a token again, and then there is', t => {
+	const issuer = new TokenIssuer();
+	const first = ask(issuer, 'vm1', 0, 100);
+	t.true(first.count < 100);
+	t.true(first.waitMs > 0);
+	t.is(ask(issuer, 'vm1', first.waitMs + 1).count, 1);
+});
+
+test('tokens ahead of need are only given while there are plenty', t => {
+	const issuer = new TokenIssuer();
+	t.is(ask(issuer, 'vm1', 0, 1, 5).count, 1, 'a new issuer does not know what its predecessor gave');
+	t.is(ask(issuer, 'vm1', 5000, 1, 5).count, 6);
+});
+
+test('what VMs give out without asking is kept back from the others', t => {
+	const issuer = new TokenIssuer();
+	let given = 0;
+	for (let now = 0; now < 6000; now += 50) {
+		given += ask(issuer, 'lost', now).count;
+	}
+
+	t.true(given > 100);
+	let after = 0;
+	for (let now = 6000; now < 11_000; now += 10) {
+		after += ask(issuer, 'vm1', now, 1, 0, ['lost']).count;
+	}
+
+	t.true(after < 0.5 * 20 * 5, `${after}`);
+	issuer.removeVm('lost');
+	let restored = 0;
+	for (let now = 11_000; now < 16_000; now += 10) {
+		restored += ask(issuer, 'vm1', now, 1, 0, ['lost']).count;
+	}
+
+	t.true(restored >= 20 * 5);
+});
+
+test('in no window do VMs get more than the bound, however they ask', t => {
+	fc.assert(fc.property(fc.array(fc.record({
+		gapMs: fc.integer({min: 0, max: 400}), vm: fc.integer({min: 1, max: 5}), needed: fc.integer({min: 1, max: 30}), extra: fc.integer({min: 0, max: 10}),
+	}), {minLength: 20, maxLength: 200}), asks => {
+		const issuer = new TokenIssuer();
+		const given: Array<{at: number; count: number}> = [];
+		let now = 0;
+		for (const {gapMs, vm, needed, extra} of asks) {
+			now += gapMs;
+			given.push({at: now, count: ask(issuer, `vm${vm}`, now, needed, extra).count});
+		}
+
+		for (const {at} of given) {
+			const inWindow = given.filter(entry => entry.at >= at && entry.at < at + 5000).reduce((sum, entry) => sum + entry.count, 0);
+			if (inWindow > ((20 * 5) + 20) * 1.1) {
+				return false;
+			}
+		}
+
+		return true;
+	}), {seed: 7, numRuns: 200});
+	t.pass();
+});
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -391,7 +391,8 @@
 	#refuse(request: StatementRequest, refusal: Refusal, isFinal = false): void {
 		this.services.metrics.addCount(`refused_${refusal.kind}`);
 		this.services.log.logRefusal('statement.refused', {
-			connection: this.identity.connectionId, request: request.id, statement: request.statement.kind, kind: refusal.kind, why: refusal.message,
+			connection: this.identity.connectionId, request: request.id, database: this.identity.database, group: this.services.configuration.getRoute(this.identity.database)?.group,
+			statement: request.statement.kind, kind: refusal.kind, why: refusal.message,
 			ran: refusal.answer.ran, retryAfterMs: refusal.retryAfterMs, state: this.#state, configuration: this.services.configuration.version,
 		});
 		if (!this.#isClosed) {
--- /dev/null
+++ b/packages/gateway/src/tests/dispatch/dispatcher.test.ts
@@ -0,0 +1,55 @@
+import test from 'ava';
+import {createConfiguration, statements, TestCluster} from '../fakes/test-cluster.js';
+
+const {write} = statements;
+
+/** Sends writes of many accounts at a pace through all VMs, and returns how many were asked and served in each second. */
+async function load(cluster: TestCluster, vms: readonly string[], accounts: readonly string[], perS: number, forS: number): Promise<Array<{asked: number; served: number}>> {
+	const seconds = Array.from({length: forS}, () => ({asked: 0, served: 0}));
+	const startedAt = cluster.time.now();
+	const pending: Array<Promise<void>> = [];
+	let index = 0;
+	const send = async (second: {asked: number; served: number}) => {
+		index += 1;
+		second.asked += 1;
+		const session = cluster.openSession(vms[index % vms.length]!, 'strict', accounts[(index * 7) % accounts.length]);
+		const answer = await session.send(write);
+		second.served += answer.result.kind === 'completed' ? 1 : 0;
+		session.leave();
+	};
+
+	while (cluster.time.now() < startedAt + (forS * 1000)) {
+		const elapsed = cluster.time.now() - startedAt;
+		const second = seconds[Math.floor(elapsed / 1000)]!;
+		const due = Math.floor((elapsed / 1000) * perS) - index;
+		pending.push(...Array.from({length: Math.max(0, due)}, async () => send(second)));
+
+		await cluster.time.advance(5);
+	}
+
+	await cluster.time.waitFor(Promise.all(pending));
+	return seconds;
+}
+
+test.serial('after a surge beyond its slots, many VMs and accounts let a primary recover instead of asking it all the time', async t => {
+	const vms = Array.from({length: 40}, (_, index) => `vm${index + 1}`);
+	const accounts = Array.from({length: 40}, (_, index) => `account${index + 1}`);
+	const cluster = new TestCluster(vms);
+	Object.assign(cluster.database.options, {
+		slots: 2, queue: 6, handshakeMs: 12, serviceMs: 14, maxConnections: 120,
+	});
+	await cluster.start(createConfiguration(1, {
+		groups: [{name: 'db', maxConnections: 120}],
+		accounts: accounts.map(name => ({
+			name, keyDigests: [name], priority: 1, ratePerS: 1000, burst: 1000,
+		})),
+	}));
+	// Two slots do 77 new connections with one write each a second.
+	await load(cluster, vms, accounts, 600, 3);
+	const after = await load(cluster, vms, accounts, 55, 6);
+	for (const second of after.slice(2)) {
+		t.true(second.served >= second.asked * 0.9, `${second.served} of ${second.asked}`);
+	}
+
+	cluster.stop();
+});
--- a/packages/gateway/src/tests/fakes/fake-database.ts
+++ b/packages/gateway/src/tests/fakes/fake-database.ts
@@ -26,6 +26,12 @@
 	lagMs: number;
 	promoteMs: number;
 	maxConnections: number;
+	/** Statements and handshakes that an instance does at once; without bound where absent. */
+	slots?: number;
+	/** Statements that wait for a slot before others are refused; handshakes always wait. */
+	queue?: number;
+	/** Time for which a new connection takes a slot. */
+	handshakeMs?: number;
 };
 
 const startMs = 2;
@@ -40,6 +46,29 @@
 
 	constructor(readonly id: string, readonly database: FakeDatabase) {}
 
+	#busy = 0;
+	readonly #queue: Array<() => void> = [];
+
+	/** Takes a slot for a while; false when too many wait already. */
+	async occupy(ms: number, isHandshake = false): Promise<boolean> {
+		const {slots = Number.POSITIVE_INFINITY, queue = 0} = this.database.options;
+		if (this.#busy >= slots) {
+			if (!isHandshake && this.#queue.length >= queue) {
+				return false;
+			}
+
+			await new Promise<void>(resolve => {
+				this.#queue.push(resolve);
+			});
+		}
+
+		this.#busy += 1;
+		await pause(ms);
+		this.#busy -= 1;
+		this.#queue.shift()?.();
+		return true;
+	}
+
 	crash(): void {
 		this.isAlive = false;
 		for (const connection of this.connections) {
@@ -158,6 +187,7 @@
 			return {kind: 'failed', failure: {reason: 'connection-limit', message: 'MAXCONN'}};
 		}
 
+		await instance.occupy(database.options.handshakeMs ?? 0, true);
 		this.opened += 1;
 		return {kind: 'opened', connection: new FakeConnection(this.vm, instance, account), position: instance.position};
 	}
@@ -250,7 +280,11 @@
 		}
 
 		const isWork = ['read', 'write', 'execute', 'commit'].includes(statement.kind);
-		await pause(isWork ? database.options.serviceMs : 1);
+		const hasRoom = isWork ? await this.instance.occupy(database.options.serviceMs) : await pause(1).then(() => true);
+		if (!hasRoom) {
+			return this.#refuse('busy');
+		}
+
 		if (!this.isOpen) {
 			return undefined;
 		}
--- /dev/null
+++ b/packages/gateway/src/tests/observability/decision-log.test.ts
@@ -0,0 +1,42 @@
+import test from 'ava';
+import {DecisionLog} from '../../observability/index.js';
+
+test('a reader that stalls costs no memory: lines are dropped, counted, and the count is written when it reads again', t => {
+	const written: string[] = [];
+	const output = {
+		writableLength: 0,
+		write(text: string) {
+			written.push(text);
+			output.writableLength += text.length;
+		},
+	};
+	const log = new DecisionLog('vm1', output);
+	for (let index = 0; index < 100; index++) {
+		log.logState('term.adopted', {group: 'x'.repeat(10_000), revision: index});
+	}
+
+	const kept = written.length;
+	t.true(output.writableLength < 262_144 + 20_000);
+	t.true(kept < 100);
+	t.true(written.every(line => (JSON.parse(line) as {message: string}).message === 'term.adopted'));
+});
+
+test('successes are sampled and refusals are limited, state changes are not', t => {
+	const counts: Record<string, number> = {};
+	const log = new DecisionLog('vm1', {
+		write(text: string) {
+			const {message} = JSON.parse(text) as {message: string};
+			counts[message] = (counts[message] ?? 0) + 1;
+		},
+		writableLength: 0,
+	});
+	for (let index = 0; index < 150; index++) {
+		log.logSuccess('statement.completed', {request: index});
+		log.logRefusal('statement.refused', {request: index});
+		log.logState('instance.lost', {instance: index});
+	}
+
+	t.true(counts['statement.completed']! <= 4);
+	t.true(counts['statement.refused']! <= 40);
+	t.is(counts['instance.lost'], 150);
+});
