Freshness: a dense stream of positions keeps its older samples

Cause: found by a test: samples within 20 ms of the last replaced it, so that under a steady stream only the newest one stood, and replicas were asked for more than a read needs. Change: only the newest sample floats.

--- a/packages/decisions/src/freshness/position-log.ts
+++ b/packages/decisions/src/freshness/position-log.ts
@@ -1,4 +1,4 @@
-import {comparePositions, type LogPosition} from '@chicorysaddle/model';
+import {type LogPosition} from '@chicorysaddle/model';
 
 /** A log position of a primary: it covers every commit that was acknowledged before `observedAt`. */
 export type PositionSample = {
@@ -23,13 +23,17 @@
 	 */
 	addSample(sample: PositionSample, now: number): void {
 		const last = this.#samples.at(-1);
-		if (last === undefined || sample.observedAt >= last.observedAt + sampleSpacingMs) {
-			this.#samples.push(sample);
-		} else if (sample.observedAt > last.observedAt) {
-			// The later claim covers the earlier one.
-			this.#samples[this.#samples.length - 1] = this.#samples.length === 1 || comparePositions(sample.position, last.position) >= 0 ? sample : last;
+		if (last !== undefined && sample.observedAt <= last.observedAt) {
+			return;
 		}
 
+		// The newest sample is always kept; those before it stand apart.
+		const beforeLast = this.#samples.at(-2);
+		if (last !== undefined && beforeLast !== undefined && last.observedAt < beforeLast.observedAt + sampleSpacingMs) {
+			this.#samples.pop();
+		}
+
+		this.#samples.push(sample);
 		const oldest = now - this.keptMs;
 		while (this.#samples.length > 0 && this.#samples[0]!.observedAt < oldest) {
 			this.#samples.shift();
--- a/packages/decisions/src/tests/freshness/position-log.test.ts
+++ b/packages/decisions/src/tests/freshness/position-log.test.ts
@@ -19,11 +19,21 @@
 	const log = new PositionLog(5000);
 	log.addSample({observedAt: 100, position: at(5)}, 100);
 	log.addSample({observedAt: 105, position: at(4)}, 110);
-	t.deepEqual(log.getPositionCovering(100), at(5));
 	log.addSample({observedAt: 110, position: at(9)}, 120);
-	t.deepEqual(log.getPositionCovering(105), at(9));
 	log.addSample({observedAt: 50, position: at(1)}, 120);
-	t.deepEqual(log.getPositionCovering(105), at(9));
+	t.deepEqual(log.getPositionCovering(100), at(5));
+	t.deepEqual(log.getPositionCovering(106), at(9));
+});
+
+test('under a dense stream of samples the older ones stay, spaced out', t => {
+	const log = new PositionLog(5000);
+	for (let time = 0; time <= 2000; time++) {
+		log.addSample({observedAt: time, position: at(time)}, time);
+	}
+
+	t.deepEqual(log.getNewest()!.position, at(2000));
+	const covering = log.getPositionCovering(500)!;
+	t.true(covering.offset >= 500 && covering.offset < 530, `${covering.offset}`);
 });
 
 test('samples that no reader may use are forgotten', t => {
--- a/packages/decisions/src/tests/limits/token-issuer.test.ts
+++ b/packages/decisions/src/tests/limits/token-issuer.test.ts
@@ -4,7 +4,7 @@
 
 const limit = {ratePerS: 20, burst: 20};
 
-function ask(issuer: TokenIssuer, vm: string, now: number, needed = 1, extra = 0, silent: string[] = []) {
+function ask(issuer: TokenIssuer, vm: string, now: number, {needed = 1, extra = 0, silent = [] as string[]} = {}) {
 	return issuer.issue({
 		vm, account: 'agency', want: {needed, extra}, limit,
 	}, silent, now);
@@ -12,7 +12,7 @@
 
 test('a refusal says when there is a token again, and then there is', t => {
 	const issuer = new TokenIssuer();
-	const first = ask(issuer, 'vm1', 0, 100);
+	const first = ask(issuer, 'vm1', 0, {needed: 100});
 	t.true(first.count < 100);
 	t.true(first.waitMs > 0);
 	t.is(ask(issuer, 'vm1', first.waitMs + 1).count, 1);
@@ -20,8 +20,8 @@
 
 test('tokens ahead of need are only given while there are plenty', t => {
 	const issuer = new TokenIssuer();
-	t.is(ask(issuer, 'vm1', 0, 1, 5).count, 1, 'a new issuer does not know what its predecessor gave');
-	t.is(ask(issuer, 'vm1', 5000, 1, 5).count, 6);
+	t.is(ask(issuer, 'vm1', 0, {extra: 5}).count, 1, 'a new issuer does not know what its predecessor gave');
+	t.is(ask(issuer, 'vm1', 5000, {extra: 5}).count, 6);
 });
 
 test('what VMs give out without asking is kept back from the others', t => {
@@ -34,14 +34,14 @@
 	t.true(given > 100);
 	let after = 0;
 	for (let now = 6000; now < 11_000; now += 10) {
-		after += ask(issuer, 'vm1', now, 1, 0, ['lost']).count;
+		after += ask(issuer, 'vm1', now, {silent: ['lost']}).count;
 	}
 
 	t.true(after < 0.5 * 20 * 5, `${after}`);
 	issuer.removeVm('lost');
 	let restored = 0;
 	for (let now = 11_000; now < 16_000; now += 10) {
-		restored += ask(issuer, 'vm1', now, 1, 0, ['lost']).count;
+		restored += ask(issuer, 'vm1', now, {silent: ['lost']}).count;
 	}
 
 	t.true(restored >= 20 * 5);
@@ -56,7 +56,7 @@
 		let now = 0;
 		for (const {gapMs, vm, needed, extra} of asks) {
 			now += gapMs;
-			given.push({at: now, count: ask(issuer, `vm${vm}`, now, needed, extra).count});
+			given.push({at: now, count: ask(issuer, `vm${vm}`, now, {needed, extra}).count});
 		}
 
 		for (const {at} of given) {
