A coordinator that the store turns away hands over; a VM cut from a primary that others reach refuses at once

Ruled out: handing over without asking, which would stop a VM that may go on while the store is away for all (a test shows that it stays). Change: after 2.2 s without renewal the coordinator asks the VMs that follow the store; one that reaches it accepts, the coordinator stops first, then the other takes the row. Reads prefer the VM's own zone by 4 ms.

--- a/packages/decisions/src/queueing/fair-queue.ts
+++ b/packages/decisions/src/queueing/fair-queue.ts
@@ -86,6 +86,21 @@
 		return undefined;
 	}
 
+	/** Removes a waiting request. */
+	removeEntry(value: T): void {
+		for (const priority of priorities) {
+			for (const [name, queue] of this.#classes[priority].accounts) {
+				const index = queue.entries.findIndex(entry => entry.value === value);
+				if (index !== -1) {
+					queue.entries.splice(index, 1);
+					this.#size -= 1;
+					this.#removeIfEmpty(this.#classes[priority], name, queue);
+					return;
+				}
+			}
+		}
+	}
+
 	/** Removes and returns the requests whose deadline has passed. */
 	removeExpired(now: number): Array<QueueEntry<T>> {
 		const expired: Array<QueueEntry<T>> = [];
--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -43,6 +43,15 @@
 /** Weight of the newest delay in the average: about a second of ticks. */
 const lagWeight = 0.05;
 
+/** Time without renewal after which a coordinator looks for a VM that reaches the store, milliseconds. */
+const offerAfterMs = 2200;
+
+/** Time within which a VM that may take over has to reach the store, milliseconds. */
+const offerTimeoutMs = 400;
+
+/** Interval of such offers, milliseconds. */
+const offerIntervalMs = 500;
+
 /** Least time for which a coordinator stays, milliseconds. */
 const leastHoldMs = 3000;
 
@@ -115,6 +124,7 @@
 	#tickedAt = 0;
 	#lagMs = 0;
 	#restUntil = 0;
+	#offeredAt = 0;
 	#isFollower = false;
 	#instanceRevision: string | undefined;
 	#tokenSequence = 0;
@@ -229,6 +239,11 @@
 		}
 
 		void this.parts.duty.renew();
+		if (this.parts.duty.getUnrenewedMs() > offerAfterMs && now - this.#offeredAt > offerIntervalMs && !this.parts.promoter.isBusy) {
+			this.#offeredAt = now;
+			this.parts.coordinator.offerDuty();
+		}
+
 		this.parts.promoter.sweep();
 		if (now - this.#checkedMembersAt > memberCheckMs) {
 			this.#checkedMembersAt = now;
@@ -350,6 +365,11 @@
 				return;
 			}
 
+			case 'acceptance': {
+				this.#handOverTo(link, message.vm);
+				return;
+			}
+
 			case 'configuration-reply': {
 				this.parts.keeper.applyEncoded(message.encoded, 'peer');
 				return;
@@ -367,6 +387,7 @@
 			}
 
 			case 'not-coordinator':
+			case 'offer':
 			case 'report':
 			case 'token-grant': {
 				this.parts.log.logState('peer.unexpected', {message: message.kind});
@@ -386,6 +407,37 @@
 		}
 	}
 
+	/** Stops coordinating and lets another VM go on, which has just reached the store. */
+	#handOverTo(link: PeerLink, vm: string): void {
+		if (this.parts.duty.isHeld() && this.parts.duty.getUnrenewedMs() > offerAfterMs && !this.parts.promoter.isBusy) {
+			this.parts.log.logState('coordinator.handed-over', {to: vm, unrenewedMs: Math.round(this.parts.duty.getUnrenewedMs())});
+			this.parts.duty.yieldDuty();
+			link.send({kind: 'offer', step: 'take-over'});
+		}
+	}
+
+	/** Answers a coordinator that the store turns away. */
+	async #receiveOffer(step: 'ask' | 'take-over'): Promise<void> {
+		const at = this.parts.terms.getMoment();
+		const result = await this.parts.table.readSharedRows(offerTimeoutMs);
+		if (result.kind === 'failed' || !this.#isRegistered) {
+			return;
+		}
+
+		const state = parseSharedRows(result.value, this.parts.log);
+		if (step === 'ask') {
+			this.#link?.send({kind: 'acceptance', vm: this.parts.identity.vm});
+		} else if (state.duty?.address === this.#linkAddress && await this.parts.duty.takeOver(state.duty)) {
+			this.parts.coordinator.setRegistered(new Set(state.members.keys()));
+			this.parts.coordinator.setInstances([...this.parts.instances.getAll()], this.parts.clock.now());
+			for (const term of state.terms.values()) {
+				this.parts.terms.applyTerm(term);
+			}
+
+			this.parts.terms.confirm(at);
+		}
+	}
+
 	#sendConfiguration(link: PeerLink | undefined): void {
 		const {encoded} = this.parts.keeper;
 		if (encoded !== undefined) {
@@ -421,6 +473,12 @@
 				return;
 			}
 
+			case 'offer': {
+				void this.#receiveOffer(message.step);
+				return;
+			}
+
+			case 'acceptance':
 			case 'heartbeat':
 			case 'invalid':
 			case 'token-request': {
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -76,6 +76,15 @@
 		return this.createReport(heartbeat.vm, heartbeat.sequence);
 	}
 
+	/** Asks the VMs that follow the store whether one of them can take over. */
+	offerDuty(): void {
+		for (const [vm, member] of this.#members) {
+			if (this.#isFollower(vm)) {
+				member.link?.send({kind: 'offer', step: 'ask'});
+			}
+		}
+	}
+
 	/** Tells every connected VM what is in force now. */
 	pushReports(): void {
 		for (const [vm, member] of this.#members) {
--- a/packages/gateway/src/coordination/duty-keeper.ts
+++ b/packages/gateway/src/coordination/duty-keeper.ts
@@ -46,6 +46,11 @@
 		return this.#tookOverAt;
 	}
 
+	/** Returns for how long the store has not renewed the duty. */
+	getUnrenewedMs(): number {
+		return this.#held === undefined ? 0 : dutyLeaseMs - this.getRemainingMs();
+	}
+
 	/** Says whether this VM may act as the coordinator now. */
 	isHeld(): boolean {
 		return this.#held !== undefined && this.#lease.isHeld(this.#getMoment());
@@ -104,6 +109,11 @@
 		}
 	}
 
+	/** Stops coordinating without telling the store, which does not answer: another VM has agreed to take over. */
+	yieldDuty(): void {
+		this.end('handed over');
+	}
+
 	/** Renews the row when that is due. */
 	async renew(): Promise<void> {
 		if (this.#held === undefined || this.clock.now() < this.#renewedAt + renewalMs) {
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -32,6 +32,9 @@
 /** Cost of a new connection beside a warm one, milliseconds: the handshake that a deployment states. */
 const openCostMs = 14;
 
+/** Cost of another availability zone, milliseconds: a round trip, and bytes that are paid for. */
+const crossZoneMs = 4;
+
 /** Time for which an account waits for a connection before another account's is closed while that is in use, milliseconds: a few handshakes. */
 const patienceMs = 60;
 
@@ -47,6 +50,12 @@
 /** Part of a VM's connections that is kept while idle: an instance counts those of VMs that lost power until it misses them, and their successors need room. */
 const keptPart = 0.5;
 
+/** Time by which others have to have heard a primary later than this VM, milliseconds: more than an answer takes. */
+const cutOffMs = 200;
+
+/** Time that is told to a caller whom another VM can serve, milliseconds. */
+const cutOffRetryMs = 20;
+
 /** Time that is told to a caller for whom there was no place, milliseconds. */
 const retryAfterMs = 200;
 
@@ -61,6 +70,8 @@
 	readonly clock: Clock;
 	readonly metrics: GatewayMetrics;
 	readonly log: DecisionLog;
+	/** Availability zone of this VM. */
+	readonly zone: string;
 	/** Returns numbers from zero up to one. */
 	readonly random: () => number;
 	/** Time for which a primary that is draining may be used, milliseconds. */
@@ -128,6 +139,11 @@
 					resolve(result);
 				},
 			};
+			if (this.#isCutOff(request)) {
+				waiter.settle({kind: 'refused', refusal: refusals.noPrimaryYet(request.group, cutOffRetryMs)});
+				return;
+			}
+
 			this.#enqueue(waiter);
 			this.#pump(request.group);
 		});
@@ -141,6 +157,18 @@
 		place.pool.release(place.connection, isClean);
 	}
 
+	/** Says whether this VM cannot reach a primary that others do reach: their callers' statements are served, ours are not. */
+	#isCutOff(request: PlaceRequest): boolean {
+		const primaryId = request.target === 'primary' ? this.parts.terms.getUsablePrimary(request.group) : undefined;
+		const tracker = primaryId === undefined ? undefined : this.getTracker(primaryId);
+		const newest = this.parts.terms.getNewestPosition(request.group);
+		if (tracker?.failingSince === undefined || newest === undefined || tracker.isUsable(this.parts.clock.now())) {
+			return false;
+		}
+
+		return this.parts.clock.now() - newest.ageMs > tracker.failingSince + cutOffMs;
+	}
+
 	#enqueue(waiter: Waiter): void {
 		const {request} = waiter;
 		let queue = this.#queues.get(request.group);
@@ -251,7 +279,7 @@
 
 			const candidate = this.#findWay(pool, waiter, mayEvict, isPrimary);
 			if (candidate !== undefined) {
-				const costMs = (pool.tracker.estimateMs(pool.busyCount, now) * (isPrimary ? primaryReadFactor : 1)) + (candidate.idle === undefined ? openCostMs : 0);
+				const costMs = (pool.tracker.estimateMs(pool.busyCount, now) * (isPrimary ? primaryReadFactor : 1)) + (candidate.idle === undefined ? openCostMs : 0) + (instance.zone === this.parts.zone ? 0 : crossZoneMs);
 				if (costMs < bestMs) {
 					bestMs = costMs;
 					best = candidate;
@@ -297,6 +325,13 @@
 				waiter.settle({kind: 'refused', refusal: isPrimaryMissing ? refusals.noPrimary(group) : refusals.overloaded(group, retryAfterMs)});
 			}
 
+			for (const waiter of this.#waiting.get(group) ?? []) {
+				if (this.#isCutOff(waiter.request)) {
+					queue.removeEntry(waiter);
+					waiter.settle({kind: 'refused', refusal: refusals.noPrimaryYet(group, cutOffRetryMs)});
+				}
+			}
+
 			this.#pump(group);
 		}
 
--- a/packages/gateway/src/tests/coordination/failover.test.ts
+++ b/packages/gateway/src/tests/coordination/failover.test.ts
@@ -233,3 +233,63 @@
 	t.false(cluster.store.rows.has(`vm/${coordinator}`));
 	cluster.stop();
 });
+
+test.serial('a coordinator that the store turns away hands over to a VM that reaches it, and nobody is without one for long', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const coordinator = cluster.getCoordinator();
+	const others = ['vm1', 'vm2', 'vm3'].filter(vm => vm !== coordinator);
+	const callers = others.map(vm => cluster.openSession(vm, 'strict'));
+	await writeEverywhere(cluster, callers, 1);
+	cluster.store.troubles.set(coordinator, 'busy');
+	await cluster.time.advance(3500);
+	const successor = cluster.getCoordinator();
+	t.true(others.includes(successor));
+	t.is((await writeEverywhere(cluster, callers, 1)).get('completed'), 2);
+	const former = cluster.database.primary;
+	former.crash();
+	const sent = callers.map(async caller => caller.send(write));
+	t.true(await waitForPromotion(cluster, former, 4000) < 4000);
+	await cluster.time.waitFor(Promise.all(sent));
+	t.true(cluster.database.orders.every(order => order.holder === successor));
+	cluster.stop();
+});
+
+test.serial('a store that is away for all is no reason to hand over', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const coordinator = cluster.getCoordinator();
+	cluster.store.trouble = 'busy';
+	await cluster.time.advance(4000);
+	cluster.store.trouble = 'none';
+	await cluster.time.advance(2000);
+	t.is(cluster.getCoordinator(), coordinator);
+	cluster.stop();
+});
+
+test.serial('a VM that cannot reach a primary which others reach refuses at once, so that callers go there', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const lost = ['vm1', 'vm2', 'vm3'].find(vm => vm !== cluster.getCoordinator())!;
+	const others = ['vm1', 'vm2', 'vm3'].filter(vm => vm !== lost).map(vm => cluster.openSession(vm, 'strict'));
+	const stranded = cluster.openSession(lost, 'strict');
+	await writeEverywhere(cluster, [stranded, ...others], 1);
+	cluster.database.cuts.add(`${lost} db-1`);
+	let waitedMs = 0;
+	for (let round = 0; round < 60; round++) {
+		const startedAt = cluster.time.now();
+		const pending = stranded.send(write);
+		await cluster.time.waitFor(Promise.all(others.map(async caller => caller.send(write))));
+		t.not(describeAnswer(await cluster.time.waitFor(pending)), 'completed');
+		waitedMs = cluster.time.now() - startedAt;
+		await cluster.time.advance(50);
+	}
+
+	t.true(waitedMs < 100, `${waitedMs} ms`);
+	cluster.database.cuts.clear();
+	await cluster.time.advance(500);
+	await stranded.ask(write);
+	await cluster.time.advance(2000);
+	t.true(describeAnswer(await stranded.ask(write)).startsWith('signed'));
+	cluster.stop();
+});
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -49,7 +49,7 @@
 	const instanceKeeper = new InstanceKeeper(table, instances, clock, log);
 	const terms = new TermRegistry(clock, log, metrics);
 	const dispatcher = new Dispatcher({
-		configuration, instances, terms, connector, clock, metrics, log, random: Math.random, drainUseMs: Math.max(0, drainMs - discoveryMs),
+		configuration, instances, terms, connector, clock, metrics, log, zone: identity.zone, random: Math.random, drainUseMs: Math.max(0, drainMs - discoveryMs),
 	});
 	const limiter = new AccountLimiter(configuration, clock, metrics);
 	const duty = new DutyKeeper(table, identity, clock, log);
--- a/packages/protocol/src/coordination/messages.ts
+++ b/packages/protocol/src/coordination/messages.ts
@@ -101,7 +101,13 @@
 	kind: exactly('token-grant'), sequence: number, grants: record(string, Codec.interface({count: number, waitMs: number})),
 });
 
-const messageCodec = oneOf([heartbeatCodec, reportCodec, tokenRequestCodec, tokenGrantCodec, configurationRequestCodec, configurationReplyCodec, notCoordinatorCodec]);
+/** Asks a VM whether it reaches the store, or tells it to coordinate from now on: the sender has stopped. */
+export const offerCodec = Codec.interface({kind: exactly('offer'), step: oneOf([exactly('ask'), exactly('take-over')])});
+
+/** Says that the sender reaches the store and can coordinate. */
+export const acceptanceCodec = Codec.interface({kind: exactly('acceptance'), vm: string});
+
+const messageCodec = oneOf([offerCodec, acceptanceCodec, heartbeatCodec, reportCodec, tokenRequestCodec, tokenGrantCodec, configurationRequestCodec, configurationReplyCodec, notCoordinatorCodec]);
 
 export type GroupTermMessage = GetType<typeof groupTerm>;
 export type EvidenceReport = GetType<typeof evidenceReport>;
@@ -118,6 +124,8 @@
 const codecs: Readonly<Record<string, {decode: (input: unknown) => ReturnType<typeof messageCodec.decode>}>> = {
 	heartbeat: heartbeatCodec,
 	report: reportCodec,
+	offer: offerCodec,
+	acceptance: acceptanceCodec,
 	'token-request': tokenRequestCodec,
 	'token-grant': tokenGrantCodec,
 	'configuration-request': configurationRequestCodec,
