Shutdown: late callers are refused at once; the coordination goes to a VM that stays

Sessions that were opened after half of the grace time were not told. Ruled out: the instance; it was never asked. Change: sessions opened during a shutdown end with their operation, and are rejected after half of the time together with all that waits for a place; a leaving VM offers the duty before it stops; a VM that leaves accepts none; a late answer to a take-over counts for nothing once the duty changed. Measured: 4 tests of shutdown and handover, red before.

--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -173,14 +173,16 @@
 
 	/** Hands the coordination to another VM, unless a change of primary is under way. */
 	async handOver(): Promise<void> {
+		this.#isLeaving = true;
 		const deadline = this.parts.clock.now() + handOverMs;
-		while (this.parts.promoter.isBusy && this.parts.clock.now() < deadline) {
+		while (this.parts.duty.isHeld() && this.parts.clock.now() < deadline) {
+			// Whoever accepts goes on where this VM stops.
+			this.parts.coordinator.offerDuty();
 			await new Promise(resolve => {
-				setTimeout(resolve, tickMs);
+				setTimeout(resolve, offerIntervalMs);
 			});
 		}
 
-		this.#isLeaving = true;
 		await this.parts.duty.resign();
 	}
 
@@ -366,7 +368,7 @@
 			}
 
 			case 'acceptance': {
-				this.#handOverTo(link, message.vm);
+				void this.#handOverTo(link, message.vm, message.address);
 				return;
 			}
 
@@ -408,11 +410,18 @@
 	}
 
 	/** Stops coordinating and lets another VM go on, which has just reached the store. */
-	#handOverTo(link: PeerLink, vm: string): void {
-		if (this.parts.duty.isHeld() && this.parts.duty.getUnrenewedMs() > offerAfterMs && !this.parts.promoter.isBusy) {
+	async #handOverTo(link: PeerLink, vm: string, address: string): Promise<void> {
+		if (!this.#isLeaving) {
+			// The store may be back for this VM as well.
+			await this.parts.duty.renewNow();
+		}
+
+		if (this.parts.duty.isHeld() && (this.#isLeaving || this.parts.duty.getUnrenewedMs() > offerAfterMs) && !this.parts.promoter.isBusy) {
 			this.parts.log.logState('coordinator.handed-over', {to: vm, unrenewedMs: Math.round(this.parts.duty.getUnrenewedMs())});
 			this.parts.duty.yieldDuty();
 			link.send({kind: 'offer', step: 'take-over'});
+			this.#hint = address;
+			this.parts.coordinator.announceSuccessor(address);
 		}
 	}
 
@@ -420,13 +429,13 @@
 	async #receiveOffer(step: 'ask' | 'take-over'): Promise<void> {
 		const at = this.parts.terms.getMoment();
 		const result = await this.parts.table.readSharedRows(offerTimeoutMs);
-		if (result.kind === 'failed' || !this.#isRegistered) {
+		if (result.kind === 'failed' || !this.#isRegistered || this.#isLeaving) {
 			return;
 		}
 
 		const state = parseSharedRows(result.value, this.parts.log);
 		if (step === 'ask') {
-			this.#link?.send({kind: 'acceptance', vm: this.parts.identity.vm});
+			this.#link?.send({kind: 'acceptance', vm: this.parts.identity.vm, address: this.parts.identity.peerAddress});
 		} else if (state.duty?.address === this.#linkAddress && await this.parts.duty.takeOver(state.duty)) {
 			this.parts.coordinator.setRegistered(new Set(state.members.keys()));
 			this.parts.coordinator.setInstances([...this.parts.instances.getAll()], this.parts.clock.now());
@@ -460,6 +469,8 @@
 			case 'not-coordinator': {
 				this.#answeredAt = Number.NEGATIVE_INFINITY;
 				this.#hint = message.coordinator === this.#linkAddress ? undefined : message.coordinator;
+				this.#polledAt = Math.min(this.#polledAt, this.parts.clock.now() - storePollMs + hastyHeartbeatMs);
+				this.#isUrgent = true;
 				return;
 			}
 
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -76,12 +76,17 @@
 		return this.createReport(heartbeat.vm, heartbeat.sequence);
 	}
 
-	/** Asks the VMs that follow the store whether one of them can take over. */
+	/** Asks the other VMs whether one of them can take over. */
 	offerDuty(): void {
-		for (const [vm, member] of this.#members) {
-			if (this.#isFollower(vm)) {
-				member.link?.send({kind: 'offer', step: 'ask'});
-			}
+		for (const member of this.#members.values()) {
+			member.link?.send({kind: 'offer', step: 'ask'});
+		}
+	}
+
+	/** Tells every connected VM who coordinates from now on. */
+	announceSuccessor(address: string): void {
+		for (const member of this.#members.values()) {
+			member.link?.send({kind: 'not-coordinator', coordinator: address});
 		}
 	}
 
--- a/packages/gateway/src/coordination/duty-keeper.ts
+++ b/packages/gateway/src/coordination/duty-keeper.ts
@@ -28,6 +28,8 @@
 	#uncertainSince: Moment | undefined;
 	#queue: Promise<unknown> = Promise.resolve();
 	#tookOverAt = 0;
+	/** Times that the duty was taken or ended here. */
+	#changes = 0;
 
 	constructor(private readonly table: CoordinationTable, private readonly identity: GatewayIdentity, private readonly clock: Clock, private readonly log: DecisionLog) {}
 
@@ -89,8 +91,10 @@
 			holder: this.identity.vm, incarnation: this.identity.incarnation, address: this.identity.peerAddress, token: (duty?.token ?? 0) + 1,
 		};
 		const at = this.#getMoment();
+		const changes = this.#changes;
 		const result = await this.table.writeSharedRows([{key: dutyKey, expectedVersion: duty?.version ?? 0, value: JSON.stringify(content)}], callTimeoutMs);
-		if (result.kind === 'failed' || !result.value.isApplied) {
+		// A late answer tells nothing when the duty was found in the row, and perhaps given up again, meanwhile.
+		if (result.kind === 'failed' || !result.value.isApplied || changes !== this.#changes) {
 			return false;
 		}
 
@@ -120,6 +124,11 @@
 			return;
 		}
 
+		await this.renewNow();
+	}
+
+	/** Renews the row. */
+	async renewNow(): Promise<void> {
 		this.#renewedAt = this.clock.now();
 		await this.#exclusively(async () => this.#write([]));
 	}
@@ -151,6 +160,7 @@
 		if (this.#held !== undefined) {
 			this.log.logState('coordinator.lost', {token: this.#held.token, reason});
 			this.#held = undefined;
+			this.#changes += 1;
 			this.#lease.end();
 		}
 	}
@@ -196,6 +206,7 @@
 	}
 
 	#hold(duty: DutyRow, at: Moment): void {
+		this.#changes += this.#held === undefined ? 1 : 0;
 		this.#held = duty;
 		this.#uncertainSince = undefined;
 		this.#lease.confirm(at);
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -1,5 +1,5 @@
 import {FairQueue, type Priority, type QueueEntry} from '@chicorysaddle/decisions';
-import {refusals} from '@chicorysaddle/model';
+import {type Refusal, refusals} from '@chicorysaddle/model';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Instance, type InstanceRegistry} from '../instances/index.js';
 import {type DecisionLog, type GatewayMetrics} from '../observability/index.js';
@@ -149,6 +149,16 @@
 		});
 	}
 
+	/** Refuses everything that waits for a place. */
+	refuseWaiting(refusal: Refusal): void {
+		for (const [group, waiters] of this.#waiting) {
+			for (const waiter of waiters) {
+				this.#queues.get(group)!.removeEntry(waiter);
+				waiter.settle({kind: 'refused', refusal});
+			}
+		}
+	}
+
 	/**
 	 * Gives a connection back.
 	 * @param isClean - Whether it is outside a transaction and nothing is under way on it.
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -28,10 +28,13 @@
 /** Time that is kept back at the end of the grace time, milliseconds. */
 const exitReserveMs = 500;
 
+/** Whether sessions are still taken during a shutdown. */
+type DrainPhase = 'none' | 'finishing' | 'refusing';
+
 /** All sessions of this VM, from start to shutdown. */
 export class Gateway {
 	readonly #sessions = new Set<CallerSession>();
-	#isDraining = false;
+	readonly #drain: {phase: DrainPhase} = {phase: 'none'};
 
 	constructor(
 		private readonly services: SessionServices,
@@ -51,7 +54,7 @@
 
 	/** Whether new sessions are welcome here. */
 	get isReady(): boolean {
-		return !this.#isDraining && this.services.configuration.version > 0 && this.instances.appliedAt !== undefined;
+		return this.#drain.phase === 'none' && this.services.configuration.version > 0 && this.instances.appliedAt !== undefined;
 	}
 
 	/** Starts the work that goes on in the background. */
@@ -72,7 +75,7 @@
 
 	/** Opens a session for a caller, or rejects it. */
 	openSession(identity: SessionIdentity, caller: CallerConnection): CallerSession | undefined {
-		const refusal = this.services.configuration.version === 0 ? refusals.overloaded(identity.database, retryAfterMs) : undefined;
+		const refusal = this.#checkAcceptance(identity.database);
 		const session: CallerSession = new CallerSession(this.services, identity, caller, () => {
 			this.#sessions.delete(session);
 		});
@@ -87,13 +90,25 @@
 		}
 
 		this.#sessions.add(session);
+		if (this.#drain.phase !== 'none') {
+			session.closeAfterUse();
+		}
+
 		return session;
 	}
 
+	#checkAcceptance(database: string): Refusal | undefined {
+		if (this.#drain.phase === 'refusing') {
+			return refusals.shuttingDown(retryAfterMs);
+		}
+
+		return this.services.configuration.version === 0 ? refusals.overloaded(database, retryAfterMs) : undefined;
+	}
+
 	/** Shuts down: what runs is finished, transactions get half the time, idle sessions are closed. */
 	async drain(timing: ShutdownTiming): Promise<void> {
 		const startedAt = this.services.clock.now();
-		this.#isDraining = true;
+		this.#drain.phase = 'finishing';
 		this.services.log.logState('shutdown.begun', {sessions: this.#sessions.size, graceMs: timing.graceMs});
 		void this.member.handOver();
 		const elapsed = () => this.services.clock.now() - startedAt;
@@ -109,6 +124,8 @@
 			await pause(drainPollMs);
 		}
 
+		this.#drain.phase = 'refusing';
+		this.services.dispatcher.refuseWaiting(refusals.shuttingDown(retryAfterMs));
 		for (const session of this.#sessions) {
 			session.refuseFurther(refusals.shuttingDown(retryAfterMs));
 		}
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -113,6 +113,11 @@
 		this.#closeIfIdle();
 	}
 
+	/** Closes the session when the operation that comes next, or the one under way, is done. */
+	closeAfterUse(): void {
+		this.#isClosing = true;
+	}
+
 	/** Closes the session as soon as it is idle, if its key no longer opens its database. */
 	closeIfRevoked(): void {
 		const route = this.services.configuration.getRoute(this.identity.database);
--- a/packages/gateway/src/tests/coordination/failover.test.ts
+++ b/packages/gateway/src/tests/coordination/failover.test.ts
@@ -226,7 +226,7 @@
 	await cluster.start();
 	const coordinator = cluster.getCoordinator();
 	const drained = cluster.getGateway(coordinator).gateway.drain({graceMs: 6000, rotationMs: 2200});
-	await cluster.time.advance(2500);
+	await cluster.time.advance(300);
 	t.not(cluster.getCoordinator(), coordinator);
 	t.not(cluster.getCoordinator(), '');
 	await cluster.time.waitFor(drained);
@@ -293,3 +293,18 @@
 	t.true(describeAnswer(await stranded.ask(write)).startsWith('signed'));
 	cluster.stop();
 });
+
+test.serial('VMs that leave one after the other never hand over to one that leaves, and tokens only rise', async t => {
+	const cluster = new TestCluster(['vm1', 'vm2', 'vm3', 'vm4']);
+	await cluster.start();
+	const order = [cluster.getCoordinator()];
+	for (let round = 0; round < 3; round++) {
+		const leaving = cluster.getCoordinator();
+		void cluster.getGateway(leaving).gateway.drain({graceMs: 6000, rotationMs: 2200});
+		await cluster.time.advance(700);
+		order.push(cluster.getCoordinator());
+	}
+
+	t.is(new Set(order).size, 4, order.join(' '));
+	cluster.stop();
+});
--- /dev/null
+++ b/packages/gateway/src/tests/sessions/shutdown.test.ts
@@ -0,0 +1,62 @@
+import test from 'ava';
+import {describeAnswer, statements, TestCluster} from '../fakes/test-cluster.js';
+
+const {read, write, begin, commit} = statements;
+const timing = {graceMs: 6000, rotationMs: 2200};
+
+test.serial('a VM that shuts down finishes what runs, gives transactions half its time, and closes what rests', async t => {
+	const cluster = new TestCluster();
+	cluster.database.options.serviceMs = 300;
+	await cluster.start();
+	const idle = cluster.openSession('vm1', 'strict');
+	const running = cluster.openSession('vm1', 'strict');
+	const open = cluster.openSession('vm1', 'strict');
+	await open.ask(begin);
+	await open.ask(write);
+	const answer = running.send(write);
+	const drained = cluster.getGateway('vm1').gateway.drain(timing);
+	t.false(cluster.getGateway('vm1').gateway.isReady);
+	t.true(describeAnswer(await cluster.time.waitFor(answer)).startsWith('signed'));
+	t.true(describeAnswer(await open.ask(commit)).startsWith('signed'));
+	await cluster.time.advance(2300);
+	t.true(idle.isClosed && running.isClosed && open.isClosed);
+	await cluster.time.waitFor(drained);
+	cluster.stop();
+});
+
+test.serial('whoever comes late to a VM that shuts down is refused at once, as not run', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const resting = cluster.openSession('vm1', 'strict');
+	await resting.ask(begin);
+	await resting.ask(write);
+	const drained = cluster.getGateway('vm1').gateway.drain(timing);
+	await cluster.time.advance(2500);
+	const early = cluster.openSession('vm1', 'strict');
+	t.true(describeAnswer(await early.ask(read)).startsWith('signed'));
+	t.true(early.isClosed, 'it is not kept');
+	await cluster.time.advance(1000);
+	t.is(cluster.openSession('vm1', 'strict').rejection!.kind, 'overloaded');
+	const refused = await resting.ask(commit);
+	t.is(describeAnswer(refused), 'transaction-lost');
+	t.is(cluster.database.events.filter(event => event.kind === 'commit').length, 0);
+	await cluster.time.waitFor(drained);
+	cluster.stop();
+});
+
+test.serial('a statement that waits for a place when the time is half over is refused, not held until the end', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const resting = cluster.openSession('vm1', 'strict');
+	await resting.ask(begin);
+	const drained = cluster.getGateway('vm1').gateway.drain(timing);
+	await cluster.time.advance(2600);
+	cluster.database.primary.crash();
+	const late = cluster.openSession('vm1', 'strict');
+	const startedAt = cluster.time.now();
+	const answer = await cluster.time.waitFor(late.send(write));
+	t.is(describeAnswer(answer), 'overloaded');
+	t.true(cluster.time.now() - startedAt <= 500);
+	await cluster.time.waitFor(drained);
+	cluster.stop();
+});
--- a/packages/protocol/src/coordination/messages.ts
+++ b/packages/protocol/src/coordination/messages.ts
@@ -105,7 +105,7 @@
 export const offerCodec = Codec.interface({kind: exactly('offer'), step: oneOf([exactly('ask'), exactly('take-over')])});
 
 /** Says that the sender reaches the store and can coordinate. */
-export const acceptanceCodec = Codec.interface({kind: exactly('acceptance'), vm: string});
+export const acceptanceCodec = Codec.interface({kind: exactly('acceptance'), vm: string, address: string});
 
 const messageCodec = oneOf([offerCodec, acceptanceCodec, heartbeatCodec, reportCodec, tokenRequestCodec, tokenGrantCodec, configurationRequestCodec, configurationReplyCodec, notCoordinatorCodec]);
 
