--- a/packages/gateway/src/coordination/duty-keeper.ts
+++ b/packages/gateway/src/coordination/duty-keeper.ts
@@ -5,7 +5,7 @@
 import {dutyKey, type DutyRow, parseSharedRows} from './shared-rows.js';
 
 /** Time after its last renewal for which the holder may act, milliseconds: a store that is away for that long stops nothing. */
-const dutyLeaseMs = 5000;
+const dutyLeaseMs = 6000;
 
 /** Time by which another VM waits longer than the holder acts, milliseconds. */
 const takeOverMarginMs = 500;
@@ -16,6 +16,9 @@
 /** Holder of a duty that was given up. */
 const vacantHolder = '';
 
+/** Pause before a renewal that failed is tried again, milliseconds. */
+const retryMs = 250;
+
 /** Time for a call to the store, milliseconds. */
 const callTimeoutMs = 800;
 
@@ -179,6 +182,7 @@
 			return result.value.version;
 		}
 
+		this.#renewedAt = this.clock.now() - renewalMs + retryMs;
 		this.#uncertainSince ??= at;
 		const settled = await this.#settle(held);
 		const isWritten = settled !== undefined && writes.length > 0 && writes.every(write => settled.rows.get(write.key) === write.value);
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -29,7 +29,7 @@
 const exitReserveMs = 500;
 
 /** Whether sessions are still taken during a shutdown. */
-type DrainPhase = 'none' | 'finishing' | 'refusing';
+type DrainPhase = 'none' | 'leaving-rotation' | 'finishing' | 'refusing';
 
 /** All sessions of this VM, from start to shutdown. */
 export class Gateway {
@@ -90,7 +90,7 @@
 		}
 
 		this.#sessions.add(session);
-		if (this.#drain.phase !== 'none') {
+		if (this.#drain.phase === 'finishing') {
 			session.closeAfterUse();
 		}
 
@@ -108,7 +108,7 @@
 	/** Shuts down: what runs is finished, transactions get half the time, idle sessions are closed. */
 	async drain(timing: ShutdownTiming): Promise<void> {
 		const startedAt = this.services.clock.now();
-		this.#drain.phase = 'finishing';
+		this.#drain.phase = 'leaving-rotation';
 		this.services.log.logState('shutdown.begun', {sessions: this.#sessions.size, graceMs: timing.graceMs});
 		void this.member.handOver();
 		const elapsed = () => this.services.clock.now() - startedAt;
@@ -116,6 +116,7 @@
 			await pause(drainPollMs);
 		}
 
+		this.#drain.phase = 'finishing';
 		for (const session of this.#sessions) {
 			session.closeWhenIdle();
 		}
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -14,6 +14,9 @@
 /** Statements that a caller may have waiting behind the one that runs. */
 const maxWaitingStatements = 64;
 
+/** Rest after which a session that is to end is closed, milliseconds: longer than callers take between two statements in a row. */
+const restBeforeCloseMs = 80;
+
 const acceptedInFailedTransaction: ReadonlySet<StatementKind> = new Set(['commit', 'roll-back']);
 
 /** One caller's session: it lives as long as its connection. */
@@ -28,6 +31,7 @@
 	#transaction: Transaction | undefined;
 	#transactionTimer: NodeJS.Timeout | undefined;
 	#lastCommit: LogPosition | undefined;
+	#closeTimer: NodeJS.Timeout | undefined;
 	#isRunning = false;
 	#isClosed = false;
 	#isClosing = false;
@@ -408,9 +412,17 @@
 		}
 	}
 
+	/** Closes a session that is to end once it rested: a caller that goes on at once would lose its next statement. */
 	#closeIfIdle(): void {
-		if (this.#isClosing && this.isIdle && !this.#isClosed) {
-			this.caller.close();
+		if (!this.#isClosing || !this.isIdle || this.#isClosed) {
+			return;
 		}
+
+		clearTimeout(this.#closeTimer);
+		this.#closeTimer = setTimeout(() => {
+			if (this.isIdle && !this.#isClosed) {
+				this.caller.close();
+			}
+		}, restBeforeCloseMs);
 	}
 }
