--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -147,7 +147,7 @@
 		});
 		parts.instances.onChanged(() => {
 			if (parts.duty.isHeld()) {
-				parts.coordinator.setInstances([...parts.instances.getAll()], parts.clock.now());
+				this.#tellInstances();
 				this.#isPushDue = true;
 			}
 		});
@@ -438,7 +438,7 @@
 			this.#link?.send({kind: 'acceptance', vm: this.parts.identity.vm, address: this.parts.identity.peerAddress});
 		} else if (state.duty?.address === this.#linkAddress && await this.parts.duty.takeOver(state.duty)) {
 			this.parts.coordinator.setRegistered(new Set(state.members.keys()));
-			this.parts.coordinator.setInstances([...this.parts.instances.getAll()], this.parts.clock.now());
+			this.#tellInstances();
 			for (const term of state.terms.values()) {
 				this.parts.terms.applyTerm(term);
 			}
@@ -523,6 +523,13 @@
 		}
 	}
 
+	/** Lets the coordinator tell the instances that this VM knows, if it knows any list. */
+	#tellInstances(): void {
+		if (this.parts.instances.appliedAt !== undefined) {
+			this.parts.coordinator.setInstances([...this.parts.instances.getAll()], this.parts.clock.now());
+		}
+	}
+
 	/** Gets a newer configuration: from the store, or from the coordinator when the store turns this VM away. */
 	async #refreshConfiguration(version: number): Promise<void> {
 		const isFollower = this.#isFollower;
@@ -652,11 +659,12 @@
 		this.#hint = undefined;
 		if (state.duty !== undefined) {
 			this.parts.duty.resume(state.duty, at);
+			this.#tellInstances();
 		}
 
 		if (this.#isRegistered && !this.#isLeaving && at.steady >= this.#restUntil && !this.parts.duty.isHeld() && this.parts.duty.isVacant(state.duty) && this.#isTurn() && await this.parts.duty.takeOver(state.duty)) {
 			this.parts.coordinator.setRegistered(new Set(state.members.keys()));
-			this.parts.coordinator.setInstances([...this.parts.instances.getAll()], this.parts.clock.now());
+			this.#tellInstances();
 		}
 	}
 }
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -28,7 +28,8 @@
 	readonly #members = new Map<string, MemberState>();
 	readonly #issuer = new TokenIssuer();
 	#registered: ReadonlySet<string> = new Set();
-	#instances: NonNullable<Report['instances']> = {revision: '', entries: []};
+	/** Absent until the list was read: an empty list would say that every instance is gone. */
+	#instances: Report['instances'];
 
 	constructor(
 		private readonly vm: string,
@@ -117,7 +118,7 @@
 			dutyRevision: this.duty.version,
 			terms: isKnown ? undefined : terms,
 			isFollower: this.#isFollower(vm),
-			instances: heartbeat?.instanceRevision === this.#instances.revision ? undefined : this.#instances,
+			instances: heartbeat?.instanceRevision === this.#instances?.revision ? undefined : this.#instances,
 			positions,
 			configurationVersion: this.configuration.version,
 			members: this.memberCount,
--- a/packages/gateway/src/coordination/duty-keeper.ts
+++ b/packages/gateway/src/coordination/duty-keeper.ts
@@ -31,6 +31,8 @@
 	#uncertainSince: Moment | undefined;
 	#queue: Promise<unknown> = Promise.resolve();
 	#tookOverAt = 0;
+	/** Newest token under which this process coordinates no more. */
+	#givenUpToken = 0;
 	/** Times that the duty was taken or ended here. */
 	#changes = 0;
 
@@ -109,7 +111,9 @@
 
 	/** Takes up a duty that a lost answer had left open: the row names this process already. */
 	resume(duty: DutyRow, at: Moment): void {
-		if (this.#held === undefined && duty.holder === this.identity.vm && duty.incarnation === this.identity.incarnation) {
+		const isOwn = duty.holder === this.identity.vm && duty.incarnation === this.identity.incarnation;
+		// A duty that was given up may still stand in the row: its successor is about to write.
+		if (this.#held === undefined && isOwn && duty.token > this.#givenUpToken) {
 			this.#hold(duty, at);
 			this.#tookOverAt = this.clock.now();
 			this.log.logState('coordinator.resumed', {token: duty.token, version: duty.version});
@@ -162,6 +166,7 @@
 	end(reason: string): void {
 		if (this.#held !== undefined) {
 			this.log.logState('coordinator.lost', {token: this.#held.token, reason});
+			this.#givenUpToken = this.#held.token;
 			this.#held = undefined;
 			this.#changes += 1;
 			this.#lease.end();
--- a/packages/gateway/src/tests/coordination/failover.test.ts
+++ b/packages/gateway/src/tests/coordination/failover.test.ts
@@ -308,3 +308,18 @@
 	t.is(new Set(order).size, 4, order.join(' '));
 	cluster.stop();
 });
+
+test.serial('a coordinator that has not read the instances yet does not tell the others that there are none', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const coordinator = cluster.getCoordinator();
+	const caller = cluster.openSession(['vm1', 'vm2', 'vm3'].find(vm => vm !== coordinator)!, 'strict');
+	await caller.ask(write);
+	cluster.getGateway(coordinator).gateway.stop();
+	// Its successor process takes the duty at once, while the list of instances cannot be read.
+	cluster.store.areInstancesReadable = false;
+	await cluster.startVm(coordinator);
+	await cluster.time.advance(2500);
+	t.true(describeAnswer(await caller.ask(write)).startsWith('signed'));
+	cluster.stop();
+});
--- a/packages/gateway/src/tests/fakes/fake-table.ts
+++ b/packages/gateway/src/tests/fakes/fake-table.ts
@@ -15,6 +15,8 @@
 	instances: Instance[] = [];
 	configuration: GatewayConfiguration | undefined;
 	readonly troubles = new Map<string, StoreTrouble>();
+	/** Whether calls for the instances are answered. */
+	areInstancesReadable = true;
 	trouble: StoreTrouble = 'none';
 	version = 0;
 	readonly waiting = new Set<() => void>();
@@ -58,7 +60,9 @@
 	}
 
 	async readInstances(timeoutMs: number): Promise<StoreResult<readonly Instance[]>> {
-		return this.#call(timeoutMs, () => [...this.store.instances]);
+		return this.store.areInstancesReadable
+			? this.#call(timeoutMs, () => [...this.store.instances])
+			: {kind: 'failed', failure: {reason: 'busy', message: 'status 503'}};
 	}
 
 	async readConfiguration(timeoutMs: number): Promise<StoreResult<ConfigurationReading>> {
