--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -14,10 +14,13 @@
 import {type Coordinator} from './coordinator.js';
 import {type DutyKeeper} from './duty-keeper.js';
 import {type GatewayIdentity} from './gateway-identity.js';
+import {HeartbeatWriter} from './heartbeat-writer.js';
+import {LagMonitor} from './lag-monitor.js';
 import {type Promoter} from './promoter.js';
 import {
 	type DutyRow, getMemberKey, parseSharedRows, type SharedState,
 } from './shared-rows.js';
+import {TokenChannel} from './token-channel.js';
 
 /** Interval of the loop, milliseconds. */
 const tickMs = 50;
@@ -37,12 +40,6 @@
 /** Time by which the VM of least capacity waits longer to coordinate, milliseconds. */
 const weakestWaitMs = 1000;
 
-/** Average delay of the loop above which a VM does not coordinate, milliseconds: answers about tokens would come too late. */
-const resignLagMs = 60;
-
-/** Weight of the newest delay in the average: about a second of ticks. */
-const lagWeight = 0.05;
-
 /** Time without renewal after which a coordinator looks for a VM that reaches the store, milliseconds. */
 const offerAfterMs = 2200;
 
@@ -61,9 +58,6 @@
 /** Time for which a VM that follows the store waits for a version that another has, milliseconds. */
 const followerPatienceMs = 300;
 
-/** Time for an answer about tokens, milliseconds: several round trips within a region. */
-const tokenTimeoutMs = 150;
-
 /** Time for which a VM that leaves goes on with a change of primary, milliseconds: a promotion with its preparation. */
 const handOverMs = 2500;
 
@@ -76,8 +70,6 @@
 /** Interval at which the coordinator looks at the members, milliseconds. */
 const memberCheckMs = 5000;
 
-type SentHeartbeat = {readonly sequence: number; readonly at: Moment};
-
 /** What a VM keeps its place among the others with. */
 export type ClusterMemberParts = {
 	readonly identity: GatewayIdentity;
@@ -109,11 +101,8 @@
 	#coordinator: DutyRow | undefined;
 	#registeredVersion = 0;
 	#isRegistered = false;
-	#sent: SentHeartbeat[] = [];
-	#sequence = 0;
 	#sentAt = Number.NEGATIVE_INFINITY;
 	#answeredAt = Number.NEGATIVE_INFINITY;
-	#echo: {readonly stampMs: number; readonly receivedAt: number} | undefined;
 	#polledAt = Number.NEGATIVE_INFINITY;
 	#isPolling = false;
 	#checkedMembersAt = 0;
@@ -121,16 +110,18 @@
 	#isPushDue = false;
 	#isLeaving = false;
 	#vacantSince: number | undefined;
-	#tickedAt = 0;
-	#lagMs = 0;
 	#restUntil = 0;
 	#offeredAt = 0;
 	#isFollower = false;
 	#instanceRevision: string | undefined;
-	#tokenSequence = 0;
-	readonly #tokenRequests = new Map<number, (grants: TokenGrants) => void>();
+
+	readonly #lag = new LagMonitor(tickMs);
+	readonly #heartbeats: HeartbeatWriter;
+	readonly #tokens: TokenChannel;
 
 	constructor(private readonly parts: ClusterMemberParts) {
+		this.#heartbeats = new HeartbeatWriter(parts);
+		this.#tokens = new TokenChannel(parts.identity.vm);
 		parts.terms.onChanged(() => {
 			this.#isUrgent = true;
 			setImmediate(() => {
@@ -232,7 +223,7 @@
 		this.parts.terms.confirm(this.parts.terms.getMoment());
 		if (now - this.#sentAt >= heartbeatMs) {
 			this.#sentAt = now;
-			this.#applyReport(this.parts.coordinator.receiveHeartbeat(this.#createHeartbeat(), undefined));
+			this.#applyReport(this.parts.coordinator.receiveHeartbeat(this.#heartbeats.createHeartbeat(this.#instanceRevision), undefined));
 		}
 
 		if (this.#isPushDue) {
@@ -281,16 +272,14 @@
 			return;
 		}
 
-		this.#isUrgent = false;
 		this.#sentAt = now;
 		if (this.#link?.isOpen !== true || this.#linkAddress !== address || now - Math.max(this.#answeredAt, this.#linkOpenedAt) > coordinatorSilentMs) {
 			this.#openLink(address, now);
 		}
 
-		const heartbeat = this.#createHeartbeat();
-		this.#sent.push({sequence: heartbeat.sequence, at: this.parts.terms.getMoment()});
-		this.#sent = this.#sent.slice(-8);
-		this.#link?.send(heartbeat);
+		this.#link?.send(this.#heartbeats.createHeartbeat(this.#instanceRevision));
+		// A closing term waits for this VM: it tells soon that its writes are done.
+		this.#isUrgent = this.#heartbeats.isDraining();
 	}
 
 	/** Returns a VM that may know the coordinator, while the store tells nothing. */
@@ -314,45 +303,6 @@
 		this.#link = link;
 	}
 
-	#createHeartbeat(): Heartbeat {
-		this.#sequence += 1;
-		const now = this.parts.clock.now();
-		const evidence: Heartbeat['evidence'] = {};
-		const positions: Heartbeat['positions'] = {};
-		const revisions: Heartbeat['revisions'] = {};
-		for (const term of this.parts.terms.getTerms()) {
-			revisions[term.group] = this.parts.terms.getSettledRevision(term.group);
-			this.#isUrgent ||= revisions[term.group] !== term.revision;
-			const position = this.parts.terms.getNewestPosition(term.group);
-			if (position !== undefined) {
-				positions[term.group] = position;
-			}
-
-			const seen = this.parts.dispatcher.getTracker(term.primaryId)?.createEvidence(this.parts.identity.vm);
-			if (seen !== undefined) {
-				evidence[term.group] = {
-					instanceId: seen.instanceId,
-					answeredAgoMs: seen.answeredAt === undefined ? undefined : now - seen.answeredAt,
-					failingForMs: seen.failingSince === undefined ? undefined : now - seen.failingSince,
-					isRefused: seen.isRefused,
-				};
-			}
-		}
-
-		return {
-			kind: 'heartbeat',
-			vm: this.parts.identity.vm,
-			incarnation: this.parts.identity.incarnation,
-			sequence: this.#sequence,
-			positions,
-			evidence,
-			revisions,
-			configurationVersion: this.parts.configuration.version,
-			instanceRevision: this.#instanceRevision,
-			echo: this.#echo === undefined ? undefined : {stampMs: this.#echo.stampMs, ageMs: now - this.#echo.receivedAt},
-		};
-	}
-
 	#receiveFromPeer(link: PeerLink, message: ReturnType<typeof parsePeerMessage>): void {
 		switch (message.kind) {
 			case 'heartbeat': {
@@ -475,7 +425,7 @@
 			}
 
 			case 'token-grant': {
-				this.#tokenRequests.get(message.sequence)?.(message.grants);
+				this.#tokens.receive(message.sequence, message.grants);
 				return;
 			}
 
@@ -505,21 +455,20 @@
 		}
 
 		this.parts.duty.observeVersion(report.dutyRevision);
-		this.#echo = {stampMs: report.stampMs, receivedAt: now};
+		const sentAt = this.#heartbeats.observeReport(report);
 		if (report.configurationVersion > this.parts.configuration.version) {
 			void this.#refreshConfiguration(report.configurationVersion);
 		}
 
 		this.#applyReport(report);
-		const sent = this.#sent.find(heartbeat => heartbeat.sequence === report.sequence);
-		if (sent === undefined) {
+		if (sentAt === undefined) {
 			return;
 		}
 
 		this.#answeredAt = now;
-		this.parts.terms.confirm(sent.at);
+		this.parts.terms.confirm(sentAt);
 		for (const [group, {position, ageMs}] of Object.entries(report.positions)) {
-			this.parts.terms.observePosition(group, position, sent.at.steady - ageMs);
+			this.parts.terms.observePosition(group, position, sentAt.steady - ageMs);
 		}
 	}
 
@@ -564,22 +513,7 @@
 			return undefined;
 		}
 
-		this.#tokenSequence += 1;
-		const sequence = this.#tokenSequence;
-		this.#link.send({
-			kind: 'token-request', vm: this.parts.identity.vm, sequence, wants,
-		});
-		return new Promise(resolve => {
-			const timer = setTimeout(() => {
-				this.#tokenRequests.delete(sequence);
-				resolve(undefined);
-			}, tokenTimeoutMs);
-			this.#tokenRequests.set(sequence, grants => {
-				clearTimeout(timer);
-				this.#tokenRequests.delete(sequence);
-				resolve(grants);
-			});
-		});
+		return this.#tokens.request(this.#link, wants);
 	}
 
 	async #pollStore(): Promise<void> {
@@ -613,12 +547,11 @@
 
 	/** Gives the coordination up when this process is too slow to answer the others. */
 	#watchLag(now: number): void {
-		const lagMs = Math.max(0, now - this.#tickedAt - tickMs);
-		this.#tickedAt = now;
-		this.#lagMs += (Math.min(lagMs, resignLagMs * 4) - this.#lagMs) * lagWeight;
-		if (this.#lagMs > resignLagMs && this.parts.duty.isHeld() && !this.parts.promoter.isBusy && this.parts.coordinator.countHeard() > 1 && now - this.parts.duty.tookOverAt > leastHoldMs) {
-			this.parts.log.logState('coordinator.slow', {lagMs: Math.round(this.#lagMs)});
-			this.#lagMs = 0;
+		this.#lag.observe(now);
+		const {duty, promoter, coordinator, log} = this.parts;
+		if (this.#lag.isSlow() && duty.isHeld() && !promoter.isBusy && coordinator.countHeard() > 1 && now - duty.tookOverAt > leastHoldMs) {
+			log.logState('coordinator.slow', {lagMs: Math.round(this.#lag.lagMs)});
+			this.#lag.reset();
 			this.#restUntil = now + restMs;
 			void this.parts.duty.resign();
 		}
