--- a/packages/gateway/src/tests/fakes/fake-database.ts
+++ b/packages/gateway/src/tests/fakes/fake-database.ts
@@ -91,6 +91,8 @@
 	readonly instances: FakeInstance[];
 	readonly events: DatabaseEvent[] = [];
 	readonly orders: PromotionOrder[] = [];
+	/** Promotions that took effect, with the log of the instance that leads since. */
+	readonly promotions: Array<{readonly at: number; readonly term: number; readonly position: LogPosition}> = [];
 	/** Pairs of VM and instance that cannot reach each other. */
 	readonly cuts = new Set<string>();
 	/** Errors that the next statements of a kind get. */
@@ -150,6 +152,7 @@
 			}
 
 			this.term += 1;
+			this.promotions.push({at: this.getNow(), term: this.term, position: target.position});
 			target.role = 'primary';
 			target.term = this.term;
 			target.position = {term: this.term, offset: target.position.offset};
