Instances: one that drained and is ready again may be used as a primary

Ruled out: lease and term (refusals were overloaded, not no-primary), connections (three idle ones). Change: the time ends when the entry says ready.

--- a/packages/gateway/src/instances/instance-registry.ts
+++ b/packages/gateway/src/instances/instance-registry.ts
@@ -48,7 +48,10 @@
 		this.#instances = new Map(instances.map(instance => [instance.id, instance]));
 		this.#appliedAt = now;
 		for (const instance of instances) {
-			if (instance.state === 'draining' && !this.#drainingSince.has(instance.id)) {
+			if (instance.state === 'ready') {
+				// It may have started again under its former id.
+				this.#drainingSince.delete(instance.id);
+			} else if (!this.#drainingSince.has(instance.id)) {
 				this.#drainingSince.set(instance.id, now);
 			}
 
