Decision log: a typed catalogue of events, SIGHUP applies what can change, statements over the limit are refused

Cause: names and fields of log lines stood at forty places, so that OPERATIONS and explain could drift from them; SIGHUP was logged and did nothing; Limits.MaxBodyBytes was read and not enforced; nobody logged that a lease ran out or that limits are local. SIGHUP reads the file again: bounds, capacity and seeds are applied, addresses wait for a restart. Errors in the settings file name line and key. Statements over the limit are refused unrun.

--- a/packages/cli/src/explain/explain-request.ts
+++ b/packages/cli/src/explain/explain-request.ts
@@ -1,3 +1,4 @@
+import {getEventStructure} from '@chicorysaddle/model';
 import {type LogLine} from './log-line.js';
 
 /** A line of an explanation, with why it is there. */
@@ -11,35 +12,9 @@
 /** Time after its last line, milliseconds: what ends the trouble tells about it, too. */
 const causeAfterMs = 1500;
 
-/** Events that change what a VM believes, and so may be the cause of an answer. */
-const causes: ReadonlySet<string> = new Set([
-	'term-lease.taken',
-	'term.adopted',
-	'instance.lost',
-	'instance.regained',
-	'instance.changed',
-	'configuration.applied',
-	'coordinator.taken',
-	'coordinator.lost',
-	'coordinator.slow',
-	'coordinator.resumed',
-	'promotion.begun',
-	'promotion.ordered',
-	'promotion.ended',
-	'store.lost',
-	'store.regained',
-	'store.unavailable',
-	'process.started',
-	'process.failed',
-	'shutdown.begun',
-	'log.omitted',
-]);
-
-/** Events that concern every VM, whoever logged them. */
-const sharedCauses: ReadonlySet<string> = new Set(['coordinator.taken', 'coordinator.lost', 'coordinator.slow', 'promotion.begun', 'promotion.ordered', 'promotion.ended']);
-
 function isRelevant(line: LogLine, vms: ReadonlySet<string>, group: unknown): boolean {
-	if (!causes.has(line.event) || (!vms.has(line.vm) && !sharedCauses.has(line.event))) {
+	const event = getEventStructure(line.event);
+	if (event?.isCause !== true || (event.scope === 'vm' && !vms.has(line.vm))) {
 		return false;
 	}
 
@@ -92,6 +67,6 @@
 /** Writes a line of an explanation, with its time after the request's first line. */
 export function formatExplainedLine(line: ExplainedLine, startedAt: number): string {
 	const seconds = ((line.time - startedAt) / 1000).toFixed(3);
-	const fields = Object.entries(line.fields).map(([name, value]) => `${name}=${String(value)}`).join(' ');
+	const fields = Object.entries(line.fields).map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`).join(' ');
 	return `${seconds.padStart(8)} s  ${line.relation.padEnd(10)}  ${line.vm}  ${line.event}  ${fields}`;
 }
--- a/packages/gateway/src/configuration/configuration-keeper.ts
+++ b/packages/gateway/src/configuration/configuration-keeper.ts
@@ -98,7 +98,7 @@
 		parseConfiguration(text).ifRight(configuration => {
 			this.#apply(configuration, source);
 		}).ifLeft(reason => {
-			this.log.logState('configuration.unreadable', {source, reason});
+			this.log.logEvent('configuration.unreadable', {source, reason});
 		});
 	}
 
@@ -123,7 +123,7 @@
 		}
 
 		this.#encoded = undefined;
-		this.log.logState('configuration.applied', {
+		this.log.logEvent('configuration.applied', {
 			version: configuration.version, before, source, routes: configuration.routes.length, accounts: configuration.accounts.length,
 		});
 		for (const listener of this.#listeners) {
@@ -134,7 +134,7 @@
 	#observeStore(isThere: boolean, why: string): void {
 		if (this.#isStoreAway === isThere) {
 			this.#isStoreAway = !isThere;
-			this.log.logState(isThere ? 'store.regained' : 'store.lost', {call: 'configuration', why});
+			this.log.logEvent(isThere ? 'store.regained' : 'store.lost', {call: 'configuration', why});
 		}
 	}
 }
--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -8,7 +8,7 @@
 import {type AccountLimiter} from '../limits/index.js';
 import {type DecisionLog} from '../observability/index.js';
 import {
-	type Clock, type CoordinationTable, type PeerLink, type PeerListening, type PeerNetwork,
+	type AdjustableSettingsSource, type Clock, type CoordinationTable, type PeerLink, type PeerListening, type PeerNetwork,
 } from '../ports/index.js';
 import {type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
@@ -87,6 +87,7 @@
 	readonly network: PeerNetwork;
 	readonly clock: Clock;
 	readonly log: DecisionLog;
+	readonly getSettings: AdjustableSettingsSource;
 };
 
 /** Keeps this VM's place among the others: its leases, shares, and what it tells of itself. */
@@ -195,6 +196,7 @@
 	#tick(): void {
 		const now = this.parts.clock.now();
 		this.#watchLag(now);
+		this.parts.terms.watchLease();
 		if (this.parts.duty.isHeld()) {
 			this.#coordinate(now);
 			return;
@@ -255,7 +257,7 @@
 		for (const vm of this.parts.coordinator.getSilent(memberGoneMs)) {
 			const row = members.get(vm);
 			if (row !== undefined && await this.parts.duty.writeRows([{key: getMemberKey(vm), expectedVersion: row.version, value: undefined}]) !== undefined) {
-				this.parts.log.logState('member.removed', {member: vm, silentMs: memberGoneMs});
+				this.parts.log.logEvent('member.removed', {member: vm, silentMs: memberGoneMs});
 				this.parts.coordinator.removeMember(vm);
 			}
 		}
@@ -284,7 +286,7 @@
 
 	/** Returns a VM that may know the coordinator, while the store tells nothing. */
 	#chooseSeed(now: number): string | undefined {
-		const seeds = this.parts.identity.seeds.filter(seed => seed !== this.parts.identity.peerAddress);
+		const seeds = this.parts.getSettings().seeds.filter(seed => seed !== this.parts.identity.peerAddress);
 		return seeds.length === 0 ? undefined : seeds[Math.floor(now / coordinatorSilentMs) % seeds.length];
 	}
 
@@ -333,7 +335,7 @@
 			}
 
 			case 'invalid': {
-				this.parts.log.logState('peer.invalid', {reason: message.reason});
+				this.parts.log.logEvent('peer.invalid', {reason: message.reason});
 				link.close();
 				return;
 			}
@@ -342,7 +344,7 @@
 			case 'offer':
 			case 'report':
 			case 'token-grant': {
-				this.parts.log.logState('peer.unexpected', {message: message.kind});
+				this.parts.log.logEvent('peer.unexpected', {message: message.kind});
 			}
 		}
 	}
@@ -367,7 +369,7 @@
 		}
 
 		if (this.parts.duty.isHeld() && (this.#isLeaving || this.parts.duty.getUnrenewedMs() > offerAfterMs) && !this.parts.promoter.isBusy) {
-			this.parts.log.logState('coordinator.handed-over', {to: vm, unrenewedMs: Math.round(this.parts.duty.getUnrenewedMs())});
+			this.parts.log.logEvent('coordinator.handed-over', {to: vm, unrenewedMs: Math.round(this.parts.duty.getUnrenewedMs())});
 			this.parts.duty.yieldDuty();
 			link.send({kind: 'offer', step: 'take-over'});
 			this.#hint = address;
@@ -443,7 +445,7 @@
 			case 'heartbeat':
 			case 'invalid':
 			case 'token-request': {
-				this.parts.log.logState('peer.unexpected', {message: message.kind});
+				this.parts.log.logEvent('peer.unexpected', {message: message.kind});
 			}
 		}
 	}
@@ -531,7 +533,7 @@
 			} else {
 				// The row that was read last may be old: other VMs may know better.
 				this.#coordinator = undefined;
-				this.parts.log.logState('store.unavailable', {call: 'shared rows', reason: result.failure.reason, why: result.failure.message});
+				this.parts.log.logEvent('store.unavailable', {call: 'shared rows', reason: result.failure.reason, why: result.failure.message});
 			}
 		} finally {
 			this.#isPolling = false;
@@ -542,7 +544,7 @@
 	#isTurn(): boolean {
 		const now = this.parts.clock.now();
 		this.#vacantSince ??= now;
-		return now - this.#vacantSince >= (1 - this.parts.identity.capacity) * weakestWaitMs;
+		return now - this.#vacantSince >= (1 - this.parts.getSettings().capacity) * weakestWaitMs;
 	}
 
 	/** Gives the coordination up when this process is too slow to answer the others. */
@@ -550,7 +552,7 @@
 		this.#lag.observe(now);
 		const {duty, promoter, coordinator, log} = this.parts;
 		if (this.#lag.isSlow() && duty.isHeld() && !promoter.isBusy && coordinator.countHeard() > 1 && now - duty.tookOverAt > leastHoldMs) {
-			log.logState('coordinator.slow', {lagMs: Math.round(this.#lag.lagMs)});
+			log.logEvent('coordinator.slow', {lagMs: Math.round(this.#lag.lagMs)});
 			this.#lag.reset();
 			this.#restUntil = now + restMs;
 			void this.parts.duty.resign();
@@ -569,7 +571,7 @@
 		if (written.kind === 'ok' && written.value.isApplied) {
 			this.#isRegistered = true;
 			this.#registeredVersion = written.value.version;
-			this.parts.log.logState('member.registered', {version: written.value.version});
+			this.parts.log.logEvent('member.registered', {version: written.value.version});
 		}
 	}
 
--- a/packages/gateway/src/coordination/duty-keeper.ts
+++ b/packages/gateway/src/coordination/duty-keeper.ts
@@ -105,7 +105,7 @@
 
 		this.#hold({...content, version: result.value.version}, at);
 		this.#tookOverAt = this.clock.now();
-		this.log.logState('coordinator.taken', {token: content.token, version: result.value.version, before: duty?.holder});
+		this.log.logEvent('coordinator.taken', {token: content.token, version: result.value.version, before: duty?.holder});
 		return true;
 	}
 
@@ -116,7 +116,7 @@
 		if (this.#held === undefined && isOwn && duty.token > this.#givenUpToken) {
 			this.#hold(duty, at);
 			this.#tookOverAt = this.clock.now();
-			this.log.logState('coordinator.resumed', {token: duty.token, version: duty.version});
+			this.log.logEvent('coordinator.resumed', {token: duty.token, version: duty.version});
 		}
 	}
 
@@ -165,7 +165,7 @@
 	/** Ends the duty: another VM holds it. */
 	end(reason: string): void {
 		if (this.#held !== undefined) {
-			this.log.logState('coordinator.lost', {token: this.#held.token, reason});
+			this.log.logEvent('coordinator.lost', {token: this.#held.token, reason});
 			this.#givenUpToken = this.#held.token;
 			this.#held = undefined;
 			this.#changes += 1;
--- a/packages/gateway/src/coordination/gateway-identity.ts
+++ b/packages/gateway/src/coordination/gateway-identity.ts
@@ -6,8 +6,4 @@
 	readonly incarnation: string;
 	/** Host and port on which other VMs reach it. */
 	readonly peerAddress: string;
-	/** Capacity beside the largest VMs, from zero to one. */
-	readonly capacity: number;
-	/** Peer addresses of VMs that may know the configuration while the store does not answer. */
-	readonly seeds: readonly string[];
 };
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -111,7 +111,7 @@
 				}
 			}
 		} catch (error) {
-			this.parts.log.logState('promotion.error', {group, error: error instanceof Error ? error.stack : String(error)});
+			this.parts.log.logEvent('promotion.error', {group, error: error instanceof Error ? error.stack ?? error.message : String(error)});
 		} finally {
 			this.#running.delete(group);
 		}
@@ -157,7 +157,7 @@
 	}
 
 	async #replacePrimary(term: GroupTerm, reason: PromotionReason): Promise<void> {
-		this.parts.log.logState('promotion.begun', {
+		this.parts.log.logEvent('promotion.begun', {
 			group: term.group, term: term.term, primary: term.primaryId, reason, token: this.parts.duty.token,
 		});
 		const startedAt = this.parts.clock.now();
@@ -181,7 +181,7 @@
 		const opened = await this.#writeTerm(closed.group, closed.revision, {
 			term: leader.status.term, primaryId: leader.instance.id, phase: 'open', drainMs: 0,
 		});
-		this.parts.log.logState('promotion.ended', {
+		this.parts.log.logEvent('promotion.ended', {
 			group: term.group, term: leader.status.term, primary: leader.instance.id, closedMs: Math.round(closedMs), durationMs: Math.round(this.parts.clock.now() - startedAt), recorded: opened !== undefined,
 		});
 		this.parts.metrics.addCount('promotions');
@@ -253,7 +253,7 @@
 			const result = await this.parts.service.promote({
 				group: closed.group, instanceId: instance.id, holder: this.parts.vm, fencingToken: this.parts.duty.token,
 			}, promoteTimeoutMs);
-			this.parts.log.logState('promotion.ordered', {
+			this.parts.log.logEvent('promotion.ordered', {
 				group: closed.group, instance: instance.id, token: this.parts.duty.token, result,
 			});
 			if (result === 'rejected') {
--- a/packages/gateway/src/coordination/shared-rows.ts
+++ b/packages/gateway/src/coordination/shared-rows.ts
@@ -83,7 +83,7 @@
 
 function decodeRow<T>(codec: Codec<T>, row: SharedRow, value: unknown, log: DecisionLog): T | undefined {
 	return codec.decode(value).ifLeft(reason => {
-		log.logState('row.unreadable', {key: row.key, reason});
+		log.logEvent('row.unreadable', {key: row.key, reason});
 	}).toMaybe().extract();
 }
 
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -3,7 +3,7 @@
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Instance, type InstanceRegistry} from '../instances/index.js';
 import {type DecisionLog, type GatewayMetrics} from '../observability/index.js';
-import {type Clock, type InstanceConnector} from '../ports/index.js';
+import {type AdjustableSettingsSource, type Clock, type InstanceConnector} from '../ports/index.js';
 import {type TermRegistry} from '../terms/index.js';
 import {InstancePool} from './instance-pool.js';
 import {type InstanceTracker} from './instance-tracker.js';
@@ -59,6 +59,9 @@
 /** Time that is told to a caller for whom there was no place, milliseconds. */
 const retryAfterMs = 200;
 
+/** Time until a VM may have learnt that an instance is draining, with the way of its last statement, milliseconds. */
+const discoveryMs = 2500;
+
 const highestPriorities: readonly Priority[] = ['high', 'high', 'normal'];
 
 /** What a dispatcher works with. */
@@ -74,8 +77,7 @@
 	readonly zone: string;
 	/** Returns numbers from zero up to one. */
 	readonly random: () => number;
-	/** Time for which a primary that is draining may be used, milliseconds. */
-	readonly drainUseMs: number;
+	readonly getSettings: AdjustableSettingsSource;
 };
 
 /** Finds a connection for each statement and transaction, in the order of priority and fairness. */
@@ -313,7 +315,7 @@
 	/** Says whether a primary that is draining may no longer be used, because no successor was found in time. */
 	#isLeaving(instance: Instance, now: number): boolean {
 		const since = this.parts.instances.getDrainingSince(instance.id);
-		return since !== undefined && now - since > this.parts.drainUseMs;
+		return since !== undefined && now - since > this.parts.getSettings().drainMs - discoveryMs;
 	}
 
 	#isReadable(instance: Instance, pool: InstancePool, request: PlaceRequest, now: number): boolean {
--- a/packages/gateway/src/dispatch/instance-tracker.ts
+++ b/packages/gateway/src/dispatch/instance-tracker.ts
@@ -57,7 +57,7 @@
 	/** Takes in any answer. */
 	observeAnswer(now: number): void {
 		if (this.#failingSince !== undefined) {
-			this.log.logState('instance.regained', {instance: this.instance.id, group: this.instance.group, failedMs: Math.round(now - this.#failingSince)});
+			this.log.logEvent('instance.regained', {instance: this.instance.id, group: this.instance.group, failedMs: Math.round(now - this.#failingSince)});
 		}
 
 		this.#answeredAt = now;
@@ -104,7 +104,7 @@
 
 		if (this.#failingSince === undefined) {
 			this.#failingSince = kind === 'silent' ? since : now;
-			this.log.logState('instance.lost', {
+			this.log.logEvent('instance.lost', {
 				instance: this.instance.id, group: this.instance.group, how: kind, answeredAgoMs: this.#answeredAt === undefined ? undefined : Math.round(now - this.#answeredAt),
 			});
 		}
--- a/packages/gateway/src/instances/instance-keeper.ts
+++ b/packages/gateway/src/instances/instance-keeper.ts
@@ -83,7 +83,7 @@
 	#observeStore(isThere: boolean, why: string): void {
 		if (this.#isAway === isThere) {
 			this.#isAway = !isThere;
-			this.log.logState(isThere ? 'store.regained' : 'store.lost', {call: 'instances', why});
+			this.log.logEvent(isThere ? 'store.regained' : 'store.lost', {call: 'instances', why});
 		}
 	}
 }
--- a/packages/gateway/src/instances/instance-registry.ts
+++ b/packages/gateway/src/instances/instance-registry.ts
@@ -71,7 +71,7 @@
 
 	#report(before: Instance | undefined, after: Instance | undefined): void {
 		const instance = (after ?? before)!;
-		this.log.logState('instance.changed', {
+		this.log.logEvent('instance.changed', {
 			instance: instance.id, group: instance.group, address: instance.address, state: after?.state ?? 'gone', role: instance.reportedRole, bornMs: instance.bornMs,
 		});
 		for (const listener of this.#listeners) {
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -67,8 +67,8 @@
 		}, histogramDelayMs).unref();
 		setInterval(() => {
 			const {metrics, dispatcher, log} = this.services;
-			log.logState('summary', {
-				...metrics.takeGains(), sessions: this.#sessions.size, waiting: dispatcher.countWaiting(), connections: dispatcher.describePools(),
+			log.logEvent('summary', {
+				gains: metrics.takeGains(), sessions: this.#sessions.size, waiting: dispatcher.countWaiting(), connections: dispatcher.describePools(),
 			});
 		}, summaryMs).unref();
 	}
@@ -82,7 +82,7 @@
 		const rejection: Refusal | undefined = refusal ?? session.open();
 		if (rejection !== undefined) {
 			this.services.metrics.addCount(`rejected_${rejection.kind}`);
-			this.services.log.logRefusal('session.rejected', {
+			this.services.log.logEvent('session.rejected', {
 				connection: identity.connectionId, database: identity.database, kind: rejection.kind, configuration: this.services.configuration.version,
 			});
 			caller.rejectSession(rejection);
@@ -109,7 +109,7 @@
 	async drain(timing: ShutdownTiming): Promise<void> {
 		const startedAt = this.services.clock.now();
 		this.#drain.phase = 'leaving-rotation';
-		this.services.log.logState('shutdown.begun', {sessions: this.#sessions.size, graceMs: timing.graceMs});
+		this.services.log.logEvent('shutdown.begun', {sessions: this.#sessions.size, graceMs: timing.graceMs});
 		void this.member.handOver();
 		const elapsed = () => this.services.clock.now() - startedAt;
 		while (elapsed() < timing.rotationMs) {
@@ -137,7 +137,7 @@
 
 		this.stop();
 		await this.member.leave();
-		this.services.log.logState('shutdown.ended', {sessions: this.#sessions.size, durationMs: Math.round(elapsed())});
+		this.services.log.logEvent('shutdown.ended', {sessions: this.#sessions.size, durationMs: Math.round(elapsed())});
 	}
 
 	/** Ends the work in the background at once. */
--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -2,7 +2,7 @@
 	observePace, TokenBucket, unheardPaceFactor, type TokenGrant, type TokenWant,
 } from '@chicorysaddle/decisions';
 import {type ConfigurationView} from '../configuration/index.js';
-import {type GatewayMetrics} from '../observability/index.js';
+import {type DecisionLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock} from '../ports/index.js';
 
 /** Asks the coordinator for tokens; undefined when it does not answer. */
@@ -39,8 +39,10 @@
 	#channel: TokenChannel | undefined;
 	#members = 1;
 	#isFlushing = false;
+	/** Since when the coordinator does not answer. */
+	#localSince: number | undefined;
 
-	constructor(private readonly configuration: ConfigurationView, private readonly clock: Clock, private readonly metrics: GatewayMetrics) {}
+	constructor(private readonly configuration: ConfigurationView, private readonly clock: Clock, private readonly metrics: GatewayMetrics, private readonly log: DecisionLog) {}
 
 	/** Sets the way to the coordinator. */
 	setChannel(channel: TokenChannel): void {
@@ -122,6 +124,11 @@
 	#settle(account: string, state: AccountState, waiters: readonly Waiter[], grant: TokenGrant): void {
 		const now = this.clock.now();
 		state.unheard = undefined;
+		if (this.#localSince !== undefined) {
+			this.log.logEvent('limits.shared', {localMs: Math.round(now - this.#localSince)});
+			this.#localSince = undefined;
+		}
+
 		for (const [index, settle] of waiters.entries()) {
 			if (index < grant.count) {
 				observePace(this.#paces, account, 1, now);
@@ -143,6 +150,11 @@
 		const limit = this.configuration.getAccount(account);
 		const even = (limit?.ratePerS ?? 0) / this.#members;
 		this.metrics.addCount('limit_unheard');
+		if (this.#localSince === undefined) {
+			this.#localSince = now;
+			this.log.logEvent('limits.local', {members: this.#members});
+		}
+
 		state.unheard ??= new TokenBucket({
 			ratePerS: Math.max(even, (this.#paces.get(account)?.perS ?? 0) * unheardPaceFactor), burst: Math.max(unheardBurst, (limit?.burst ?? 0) / this.#members),
 		}, unheardBurst, now);
--- a/packages/gateway/src/observability/decision-log.ts
+++ b/packages/gateway/src/observability/decision-log.ts
@@ -1,9 +1,9 @@
 import process from 'node:process';
+import {
+	eventCatalogue, type EventImportance, type EventName, type FieldsOf,
+} from '@chicorysaddle/model';
 import {Roarr, ROARR} from 'roarr';
 
-/** Values that a log line may carry. */
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
-
 /** Where lines go. */
 export type LogOutput = {
 	write(text: string): unknown;
@@ -11,11 +11,8 @@
 	readonly writableLength: number;
 };
 
-/** How much a kind of line may weigh. */
-export type LogImportance = 'state' | 'refusal' | 'success';
-
 /** Lines of one importance that are written in one second; what is beyond is counted. */
-const linesPerS: Readonly<Record<LogImportance, number>> = {state: 200, refusal: 20, success: 2};
+const linesPerS: Readonly<Record<EventImportance, number>> = {state: 200, refusal: 20, success: 2};
 
 /** Bytes that may wait for a slow reader of standard output before lines are dropped. */
 const maxWaitingBytes = 262_144;
@@ -26,7 +23,7 @@
 export class DecisionLog {
 	readonly #roarr;
 	#windowEndsAt = 0;
-	readonly #written: Record<LogImportance, number> = {state: 0, refusal: 0, success: 0};
+	readonly #written: Record<EventImportance, number> = {state: 0, refusal: 0, success: 0};
 	#omitted = 0;
 
 	/** @param vm - Name of this VM, on every line. */
@@ -37,34 +34,25 @@
 		};
 	}
 
-	/** Logs something that changes what this process believes. */
-	logState(event: string, fields: LogFields = {}): void {
-		this.#write('state', event, fields);
-	}
-
-	/** Logs a request that was not served. */
-	logRefusal(event: string, fields: LogFields): void {
-		this.#write('refusal', event, fields);
-	}
-
-	/** Logs a request that was served; most of these are left out. */
-	logSuccess(event: string, fields: LogFields): void {
-		this.#write('success', event, fields);
-	}
-
-	#write(importance: LogImportance, event: string, fields: LogFields): void {
+	/**
+	 * Logs an event of the catalogue, unless its importance had its lines of this second.
+	 * @param name - Name in the catalogue.
+	 * @param fields - Inputs and outcome.
+	 */
+	logEvent<Name extends EventName>(name: Name, fields: FieldsOf<Name>): void {
 		const now = Date.now();
 		if (now >= this.#windowEndsAt || now < this.#windowEndsAt - windowMs) {
 			this.#startWindow(now);
 		}
 
+		const {importance} = eventCatalogue[name];
 		if (this.#written[importance] >= linesPerS[importance] || this.output.writableLength > maxWaitingBytes) {
 			this.#omitted += 1;
 			return;
 		}
 
 		this.#written[importance] += 1;
-		this.#roarr.info({...fields}, event);
+		this.#roarr.info({...(fields as Record<string, string | number | boolean | undefined | Record<string, number>>)}, name);
 	}
 
 	#startWindow(now: number): void {
--- a/packages/gateway/src/ports/index.ts
+++ b/packages/gateway/src/ports/index.ts
@@ -1,3 +1,4 @@
+export type * from './adjustable-settings.js';
 export type * from './clock.js';
 export type * from './instance-connector.js';
 export type * from './coordination-table.js';
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -173,10 +173,16 @@
 			return;
 		}
 
+		const {maxStatementBytes = Number.POSITIVE_INFINITY} = this.services.configuration.configuration ?? {};
+		if (request.statement.text.length > maxStatementBytes) {
+			this.#refuse(request, refusals.invalid(`a statement of ${request.statement.text.length} bytes; the limit is ${maxStatementBytes}`));
+			return;
+		}
+
 		try {
 			await this.#handlers[kind](request, receivedAt);
 		} catch (error) {
-			this.services.log.logState('session.error', {connection: this.identity.connectionId, request: request.id, error: error instanceof Error ? error.stack : String(error)});
+			this.services.log.logEvent('session.error', {connection: this.identity.connectionId, request: request.id, error: error instanceof Error ? error.stack ?? error.message : String(error)});
 			this.#refuse(request, refusals.outcomeUnknown('internal error'));
 		}
 	}
@@ -385,7 +391,7 @@
 		}
 
 		this.services.metrics.addCount('completed');
-		this.services.log.logSuccess('statement.completed', {connection: this.identity.connectionId, request: request.id, statement: request.statement.kind});
+		this.services.log.logEvent('statement.completed', {connection: this.identity.connectionId, request: request.id, statement: request.statement.kind});
 		if (!this.#isClosed) {
 			this.caller.sendAnswer({result: {kind: 'completed', rows: outcome.rows, signature: outcome.signature}, state: this.#state, position: outcome.position});
 		}
@@ -399,7 +405,7 @@
 
 	#refuse(request: StatementRequest, refusal: Refusal, isFinal = false): void {
 		this.services.metrics.addCount(`refused_${refusal.kind}`);
-		this.services.log.logRefusal('statement.refused', {
+		this.services.log.logEvent('statement.refused', {
 			connection: this.identity.connectionId, request: request.id, database: this.identity.database, group: this.services.configuration.getRoute(this.identity.database)?.group,
 			statement: request.statement.kind, kind: refusal.kind, why: refusal.message,
 			ran: refusal.answer.ran, retryAfterMs: refusal.retryAfterMs, state: this.#state, configuration: this.services.configuration.version,
--- a/packages/gateway/src/sessions/single-statement.ts
+++ b/packages/gateway/src/sessions/single-statement.ts
@@ -48,7 +48,7 @@
 				return outcome;
 			}
 
-			this.services.log.logRefusal('statement.retried', {
+			this.services.log.logEvent('statement.retried', {
 				request: request.id, group: route.group, instance: place.pool.instance.id, attempt, result: result.kind, reason: 'reason' in result ? result.reason : undefined,
 				isPrimary: place.isPrimary, since: since === undefined ? undefined : `${since.term}.${since.offset}`, waitedMs: Math.round(this.services.clock.now() - startedAt),
 			});
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -112,12 +112,12 @@
 			const result = await this.runner.run(place, this.operation, begin, undefined, deadline);
 			if (result.kind === 'completed' && result.state === 'in-transaction') {
 				this.#place = place;
-				this.services.log.logSuccess('transaction.pinned', {
+				this.services.log.logEvent('transaction.pinned', {
 					request: this.operation.id, group: route.group, instance: place.pool.instance.id, isPrimary: place.isPrimary, waitedMs: Math.round(this.services.clock.now() - startedAt),
 				});
 			} else {
 				this.services.dispatcher.release(place, false);
-				this.services.log.logRefusal('transaction.moved', {
+				this.services.log.logEvent('transaction.moved', {
 					request: this.operation.id, group: route.group, instance: place.pool.instance.id, attempt, result: result.kind, reason: 'reason' in result ? result.reason : undefined,
 				});
 				if (!place.isPrimary || result.kind === 'lost') {
--- a/packages/gateway/src/terms/term-registry.ts
+++ b/packages/gateway/src/terms/term-registry.ts
@@ -37,6 +37,8 @@
 	readonly #lease = new TimedLease(termLeaseMs);
 	readonly #listeners: Array<(term: GroupTerm) => void> = [];
 	readonly #confirmListeners: Array<() => void> = [];
+	#wasHeld = false;
+	#confirmedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly clock: Clock, private readonly log: DecisionLog, private readonly metrics: GatewayMetrics) {}
 
@@ -70,6 +72,16 @@
 		return this.#lease.isHeld(this.getMoment());
 	}
 
+	/** Logs once that the lease ran out. */
+	watchLease(): void {
+		const isHeld = this.isLeaseHeld();
+		if (this.#wasHeld && !isHeld) {
+			this.log.logEvent('term-lease.lost', {ageMs: Math.round(this.clock.now() - this.#confirmedAt)});
+		}
+
+		this.#wasHeld = isHeld;
+	}
+
 	getLeaseRemainingMs(): number {
 		return this.#lease.getRemainingMs(this.getMoment());
 	}
@@ -81,8 +93,9 @@
 	confirm(at: Moment): void {
 		const wasHeld = this.isLeaseHeld();
 		this.#lease.confirm(at);
+		this.#confirmedAt = Math.max(this.#confirmedAt, at.steady);
 		if (!wasHeld && this.isLeaseHeld()) {
-			this.log.logState('term-lease.taken', {ageMs: Math.round(this.clock.now() - at.steady)});
+			this.log.logEvent('term-lease.taken', {ageMs: Math.round(this.clock.now() - at.steady)});
 			for (const listener of this.#confirmListeners) {
 				listener();
 			}
@@ -108,7 +121,7 @@
 		}
 
 		this.metrics.addCount(`term_${term.phase}`);
-		this.log.logState('term.adopted', {
+		this.log.logEvent('term.adopted', {
 			group: term.group, term: term.term, primary: term.primaryId, phase: term.phase, revision: term.revision, before: known?.revision,
 		});
 		for (const listener of this.#listeners) {
--- a/packages/gateway/src/tests/coordination/duty-keeper.test.ts
+++ b/packages/gateway/src/tests/coordination/duty-keeper.test.ts
@@ -6,7 +6,7 @@
 
 function createKeeper(store: FakeStore, time: VirtualTime, vm: string): DutyKeeper {
 	return new DutyKeeper(new FakeTable(vm, store), {
-		vm, zone: 'a', incarnation: `${vm}-1`, peerAddress: `${vm}:1`, seeds: [], capacity: 1,
+		vm, zone: 'a', incarnation: `${vm}-1`, peerAddress: `${vm}:1`,
 	}, time, new DecisionLog(vm, {write: () => undefined, writableLength: 0}));
 }
 
--- a/packages/gateway/src/tests/fakes/test-cluster.ts
+++ b/packages/gateway/src/tests/fakes/test-cluster.ts
@@ -10,9 +10,13 @@
 import {FakeStore, FakeTable} from './fake-table.js';
 import {VirtualTime} from './virtual-time.js';
 
-/** Swallows what is logged. */
-class Sink extends Writable {
-	override _write(_chunk: unknown, _encoding: string, done: () => void): void {
+/** Keeps what is logged. */
+class LogSink extends Writable {
+	readonly events: Array<{readonly vm: string; readonly name: string}> = [];
+
+	override _write(chunk: unknown, _encoding: string, done: () => void): void {
+		const {message, context} = JSON.parse(String(chunk)) as {message: string; context: {vm: string}};
+		this.events.push({vm: context.vm, name: message});
 		done();
 	}
 }
@@ -127,6 +131,7 @@
 	readonly database: FakeDatabase;
 	readonly gateways = new Map<string, WiredGateway>();
 	readonly connectors = new Map<string, FakeConnector>();
+	readonly log = new LogSink();
 	#callers = 0;
 	#incarnations = 0;
 
@@ -151,9 +156,9 @@
 		this.#incarnations += 1;
 		const connector = new FakeConnector(vm, [this.database]);
 		const gateway = createGateway({
-			vm, zone: 'a', incarnation: `run-${this.#incarnations}`, peerAddress: `${vm}:1`, seeds: this.vms.map(name => `${name}:1`), capacity: 1,
+			vm, zone: 'a', incarnation: `run-${this.#incarnations}`, peerAddress: `${vm}:1`,
 		}, {
-			clock: this.time, table: new FakeTable(vm, this.store), connector, promotion: this.database, network: new FakeNetwork(vm, this.network), drainMs: 7000, logOutput: new Sink(),
+			clock: this.time, table: new FakeTable(vm, this.store), connector, promotion: this.database, network: new FakeNetwork(vm, this.network), getSettings: () => ({drainMs: 7000, capacity: 1, seeds: this.vms.map(name => `${name}:1`)}), logOutput: this.log,
 		});
 		this.gateways.set(vm, gateway);
 		this.connectors.set(vm, connector);
--- a/packages/gateway/src/tests/limits/limits.test.ts
+++ b/packages/gateway/src/tests/limits/limits.test.ts
@@ -96,6 +96,7 @@
 	cluster.network.cut.add(lost);
 	const cut = await sendAtPace(cluster, ['vm1', 'vm2', 'vm3'], 320, 6000);
 	t.true(cut.asked > cut.refused);
+	t.deepEqual(cluster.log.events.filter(({name}) => name === 'limits.local').map(({vm}) => vm), [lost]);
 	t.true(countBusiestWindow(cluster) <= (((40 * 5) + 40) * (1 + overage)) + slack, `${countBusiestWindow(cluster)}`);
 	cluster.stop();
 });
--- a/packages/gateway/src/tests/observability/decision-log.test.ts
+++ b/packages/gateway/src/tests/observability/decision-log.test.ts
@@ -12,7 +12,9 @@
 	};
 	const log = new DecisionLog('vm1', output);
 	for (let index = 0; index < 100; index++) {
-		log.logState('term.adopted', {group: 'x'.repeat(10_000), revision: index});
+		log.logEvent('term.adopted', {
+			group: 'x'.repeat(10_000), term: 1, primary: 'db-1', phase: 'open', revision: index, before: undefined,
+		});
 	}
 
 	const kept = written.length;
@@ -31,9 +33,13 @@
 		writableLength: 0,
 	});
 	for (let index = 0; index < 150; index++) {
-		log.logSuccess('statement.completed', {request: index});
-		log.logRefusal('statement.refused', {request: index});
-		log.logState('instance.lost', {instance: index});
+		log.logEvent('statement.completed', {connection: 'c1', request: `${index}`, statement: 'read'});
+		log.logEvent('statement.refused', {
+			connection: 'c1', request: `${index}`, database: 'd', group: 'g', statement: 'read', kind: 'overloaded', why: 'no place', ran: 'no', retryAfterMs: 200, state: 'idle', configuration: 1,
+		});
+		log.logEvent('instance.lost', {
+			instance: 'db-1', group: 'g', how: 'silent', answeredAgoMs: index,
+		});
 	}
 
 	t.true(counts['statement.completed']! <= 4);
--- a/packages/gateway/src/tests/sessions/sessions.test.ts
+++ b/packages/gateway/src/tests/sessions/sessions.test.ts
@@ -215,3 +215,15 @@
 	t.is(cluster.database.events[0]!.account, 'agency');
 	cluster.stop();
 });
+
+test.serial('a statement over the configured size is refused without reaching an instance, one at it is served', async t => {
+	const cluster = new TestCluster();
+	await cluster.start(createConfiguration(1, {maxStatementBytes: 20}));
+	const caller = cluster.openSession('vm1', 'strict');
+	const before = cluster.database.events.length;
+	t.is(describeAnswer(await caller.ask({kind: 'write', text: `WRITE x ${'y'.repeat(13)}`})), 'invalid-request');
+	t.is(cluster.database.events.length, before);
+	t.not(describeAnswer(await caller.ask({kind: 'write', text: `WRITE x ${'y'.repeat(12)}`})), 'invalid-request');
+	t.is(cluster.database.events.length, before + 1);
+	cluster.stop();
+});
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -8,7 +8,7 @@
 import {AccountLimiter} from '../limits/index.js';
 import {DecisionLog, GatewayMetrics, type LogOutput} from '../observability/index.js';
 import {
-	type Clock, type CoordinationTable, type InstanceConnector, type PeerNetwork, type PromotionService,
+	type AdjustableSettingsSource, type Clock, type CoordinationTable, type InstanceConnector, type PeerNetwork, type PromotionService,
 } from '../ports/index.js';
 import {type SessionServices} from '../sessions/index.js';
 import {TermRegistry} from '../terms/index.js';
@@ -20,15 +20,11 @@
 	readonly connector: InstanceConnector;
 	readonly promotion: PromotionService;
 	readonly network: PeerNetwork;
-	/** Time for which an instance that is draining may still be sent work, milliseconds. */
-	readonly drainMs: number;
+	readonly getSettings: AdjustableSettingsSource;
 	/** Where the log goes; standard output where it is absent. */
 	readonly logOutput?: LogOutput;
 };
 
-/** Time until a VM may have learnt that an instance is draining, with the way of its last statement, milliseconds. */
-const discoveryMs = 2500;
-
 /** A gateway with what its surroundings may look at. */
 export type WiredGateway = {
 	readonly gateway: Gateway;
@@ -39,7 +35,7 @@
 
 /** Wires the parts of a gateway; it is the only place that does. */
 export function createGateway(identity: GatewayIdentity, {
-	clock, table, connector, promotion, network, drainMs, logOutput,
+	clock, table, connector, promotion, network, getSettings, logOutput,
 }: GatewayPorts): WiredGateway {
 	const log = new DecisionLog(identity.vm, logOutput);
 	const metrics = new GatewayMetrics();
@@ -49,16 +45,16 @@
 	const instanceKeeper = new InstanceKeeper(table, instances, clock, log);
 	const terms = new TermRegistry(clock, log, metrics);
 	const dispatcher = new Dispatcher({
-		configuration, instances, terms, connector, clock, metrics, log, zone: identity.zone, random: Math.random, drainUseMs: Math.max(0, drainMs - discoveryMs),
+		configuration, instances, terms, connector, clock, metrics, log, zone: identity.zone, random: Math.random, getSettings,
 	});
-	const limiter = new AccountLimiter(configuration, clock, metrics);
+	const limiter = new AccountLimiter(configuration, clock, metrics, log);
 	const duty = new DutyKeeper(table, identity, clock, log);
 	const coordinator = new Coordinator(identity.vm, duty, terms, configuration, clock);
 	const promoter = new Promoter({
 		vm: identity.vm, duty, coordinator, terms, instances, configuration, dispatcher, table, connector, service: promotion, clock, log, metrics,
 	});
 	const member = new ClusterMember({
-		identity, duty, coordinator, promoter, terms, configuration, keeper: configurationKeeper, instances, instanceKeeper, dispatcher, limiter, table, network, clock, log,
+		identity, duty, coordinator, promoter, terms, configuration, keeper: configurationKeeper, instances, instanceKeeper, dispatcher, limiter, table, network, clock, log, getSettings,
 	});
 	const services: SessionServices = {
 		configuration, dispatcher, limiter, terms, clock, log, metrics,
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -2,3 +2,5 @@
 export * from './errors/index.js';
 export * from './configuration/index.js';
 export * from './positions/index.js';
+export * from './events/index.js';
+export * from './settings/index.js';
--- /dev/null
+++ b/packages/model/src/settings/index.ts
@@ -0,0 +1,1 @@
+export * from './find-setting-line.js';
--- a/packages/proxy/src/settings/load-settings.ts
+++ b/packages/proxy/src/settings/load-settings.ts
@@ -1,18 +1,18 @@
 import {readFile} from 'node:fs/promises';
+import {findSettingLine} from '@chicorysaddle/model';
 import {type Either, Left, Right} from 'purify-ts';
 import {parse, TomlError} from 'smol-toml';
 import {type z} from 'zod';
 import {type Settings, settingsSchema} from './settings.js';
 
-function findLine(text: string, path: readonly PropertyKey[]): string {
-	const key = String(path.at(-1) ?? '');
-	const index = text.split('\n').findIndex(line => line.trimStart().startsWith(key) && /^\s*[\w\-]+\s*=/v.test(line));
-	return key === '' || index === -1 ? '' : `:${index + 1}`;
+function describeLine(text: string, path: readonly PropertyKey[]): string {
+	const line = findSettingLine(text, String(path.at(-1) ?? ''));
+	return line === undefined ? '' : `:${line}`;
 }
 
 function describeIssue(file: string, text: string, issue: z.core.$ZodIssue): string {
 	const path = issue.code === 'unrecognized_keys' ? [...issue.path, ...issue.keys] : issue.path;
-	return `${file}${findLine(text, path)}: ${path.join('.') || 'settings'}: ${issue.message}`;
+	return `${file}${describeLine(text, path)}: ${path.join('.') || 'settings'}: ${issue.message}`;
 }
 
 /**
