Membership: a coordinator found by asking around is kept

Cause: a VM that the store turns away asks the VMs it knows in turn; when the one it asked was the coordinator itself, it went on to the next after 900 ms and lost lease and tokens' channel until that one sent it back. A read of the store that failed after the coordinator had answered made it forget the coordinator as well. Found by the test of the new log lines (limits.local came twice after one cut). Ruled out: the grants' timeout (120 ms pass only once), the lease's length. Change: who answers with a report is the coordinator; a failed read counts only when it is newer than the last answer. Test: 'a VM logs once that nobody coordinates it' failed before (2 times limits.local), passes now.

--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -468,6 +468,8 @@
 		}
 
 		this.#answeredAt = now;
+		// Whoever answers coordinates, however this VM came to ask it.
+		this.#hint = this.#linkAddress;
 		this.parts.terms.confirm(sentAt);
 		for (const [group, {position, ageMs}] of Object.entries(report.positions)) {
 			this.parts.terms.observePosition(group, position, sentAt.steady - ageMs);
@@ -531,8 +533,11 @@
 			if (result.kind === 'ok') {
 				await this.#applyState(parseSharedRows(result.value, this.parts.log), at);
 			} else {
-				// The row that was read last may be old: other VMs may know better.
-				this.#coordinator = undefined;
+				if (this.#answeredAt < at.steady) {
+					// The row that was read last may be old: other VMs may know better.
+					this.#coordinator = undefined;
+				}
+
 				this.parts.log.logEvent('store.unavailable', {call: 'shared rows', reason: result.failure.reason, why: result.failure.message});
 			}
 		} finally {
--- a/packages/gateway/src/tests/limits/limits.test.ts
+++ b/packages/gateway/src/tests/limits/limits.test.ts
@@ -116,3 +116,22 @@
 	t.true(countBusiestWindow(cluster) <= (((40 * 5) + 40) * (1 + overage)) + slack, `${countBusiestWindow(cluster)}`);
 	cluster.stop();
 });
+
+test.serial('a VM logs once that nobody coordinates it, that its lease ran out, and that both are back', async t => {
+	const cluster = new TestCluster();
+	await cluster.start(createLimited(40, 40));
+	const lost = ['vm1', 'vm2', 'vm3'].find(vm => vm !== cluster.getCoordinator())!;
+	cluster.network.cut.add(lost);
+	cluster.store.troubles.set(lost, 'silent');
+	await sendAtPace(cluster, [lost], 20, 4000);
+	cluster.network.cut.delete(lost);
+	cluster.store.troubles.delete(lost);
+	await sendAtPace(cluster, [lost], 20, 4000);
+	const names = cluster.log.events.filter(({vm}) => vm === lost).map(({name}) => name);
+	for (const name of ['term-lease.lost', 'limits.local', 'limits.shared']) {
+		t.is(names.filter(other => other === name).length, 1, name);
+	}
+
+	t.true(names.lastIndexOf('term-lease.taken') > names.indexOf('term-lease.lost'));
+	cluster.stop();
+});
