--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -78,6 +78,13 @@
 		});
 	}
 
+	/** Describes an account's limit and who keeps it, for a refusal. */
+	describeLimit(account: string): string {
+		const limit = this.configuration.getAccount(account);
+		const keeper = this.#localSince === undefined ? 'over all VMs' : `kept by this VM alone, one of ${this.#members}`;
+		return `${limit?.ratePerS ?? 0} operations a second, ${limit?.burst ?? 0} at once, ${keeper}`;
+	}
+
 	#flushSoon(): void {
 		if (!this.#isFlushing) {
 			this.#isFlushing = true;
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -335,7 +335,7 @@
 
 		const waitMs = await this.#takeOperation(account);
 		if (waitMs > 0) {
-			return {kind: 'refused', refusal: refusals.overLimit(account, Math.ceil(waitMs)), isFinal: false};
+			return {kind: 'refused', refusal: refusals.overLimit(account, Math.ceil(waitMs), this.services.limiter.describeLimit(account)), isFinal: false};
 		}
 
 		return {
--- a/packages/model/src/errors/refusal.ts
+++ b/packages/model/src/errors/refusal.ts
@@ -33,7 +33,7 @@
 	invalid: (what: string) => new Refusal('invalid-request', what),
 	invalidSession: (why: string) => new Refusal('session-invalid', `session token ${why}`),
 	mismatch: (id: string) => new Refusal('request-mismatch', `Idempotency-Key "${id}" was used with another body`),
-	overLimit: (account: string, retryAfterMs: number) => new Refusal('over-limit', `client account "${account}" is over its rate`, retryAfterMs),
+	overLimit: (account: string, retryAfterMs: number, limit = 'its rate') => new Refusal('over-limit', `client account "${account}" is over ${limit}`, retryAfterMs),
 	overloaded: (group: string, retryAfterMs: number) => new Refusal('overloaded', `database group "${group}" has no free slot`, retryAfterMs),
 	staleView: (ageMs: number) => new Refusal('stale-view', `no word on the configuration for ${Math.round(ageMs)} ms`),
 	noPrimary: (group: string) => new Refusal('no-primary', `database group "${group}" has no primary that a replica can confirm`),
