Limits: what a window allows, kept as a window; rights that no instance used are given back

Cause: the deployments state a limit over a window (rate times window, and the burst on top). The issuer kept it as a bucket of that depth, which gives a pressing account its rate alone once the burst is gone: 142 a second of 162 that the window allows (135 a second, 135 at once, 5 s), and VMs without a coordinator began with one operation. Operations that no instance took counted as well, and were asked again. Ruled out: retries alone (the account's refusals begin before anything else fails), a wrong limit in the configuration. Change: WindowLimit counts the window in 2% parts and evens out who presses on; an account whose operation never reached an instance gets the right back; a VM that cannot ask may use its even share of the window, or 1.1 times what it used in the last one. The window comes from the settings. Tests: window-limit (a bucket of the same limit beside it), issuer's bound in every window.

--- a/packages/decisions/src/limits/token-bucket.ts
+++ b/packages/decisions/src/limits/token-bucket.ts
@@ -42,6 +42,12 @@
 		return true;
 	}
 
+	/** Takes every token that is there. */
+	clear(now: number): void {
+		this.#refill(now);
+		this.#tokens = Math.min(this.#tokens, 0);
+	}
+
 	/** Returns the part of the burst that is there. */
 	getFill(now: number): number {
 		this.#refill(now);
--- a/packages/decisions/src/limits/token-issuer.ts
+++ b/packages/decisions/src/limits/token-issuer.ts
@@ -1,4 +1,5 @@
-import {type BucketLimit, TokenBucket} from './token-bucket.js';
+import {type BucketLimit} from './token-bucket.js';
+import {WindowLimit} from './window-limit.js';
 
 /** What a VM wants of one account's limit. */
 export type TokenWant = {
@@ -24,39 +25,38 @@
 	readonly limit: BucketLimit;
 };
 
-/** Part of the limit by which the sum may exceed it: half of the overage that deployments allow. */
-const rateFactor = 1.05;
-
 /** Part of a burst that a new issuer begins with: it does not know what its predecessor gave. */
 const initialBurstPart = 0.3;
 
 /** Fill of a bucket above which tokens are given ahead of need. */
 const extraFill = 0.5;
 
-/** Time over which a VM's pace is averaged, milliseconds. */
-const paceWindowMs = 3000;
-
-/** Factor on its former pace at which a VM goes on that cannot ask. */
-export const unheardPaceFactor = 1.2;
+/** Factor on what it used in the last window to which a VM goes on that cannot ask: the overage that deployments allow. */
+export const unheardFactor = 1.1;
 
 /** Least part of a limit that is given out, however much silent VMs may use. */
 const leastPart = 0.3;
 
+/** Time over which a VM's pace is averaged, milliseconds. */
+const paceWindowMs = 3000;
+
 const msPerSecond = 1000;
 
 type Pace = {perS: number; at: number};
 
 type AccountTokens = {
-	readonly bucket: TokenBucket;
-	limit: BucketLimit;
+	readonly limit: WindowLimit;
 	/** What each VM was given lately. */
 	readonly paces: Map<string, Pace>;
 };
 
-/** Gives out the operations of each account to the VMs, from one bucket an account. */
+/** Gives out the operations of each account to the VMs. */
 export class TokenIssuer {
 	readonly #accounts = new Map<string, AccountTokens>();
 
+	/** @param windowMs - Window over which limits hold, milliseconds. */
+	constructor(private readonly windowMs: number) {}
+
 	/**
 	 * Gives tokens to a VM.
 	 * @param silent - VMs that cannot ask now and go on at their former pace.
@@ -64,23 +64,19 @@
 	 */
 	issue({vm, account, want, limit}: TokenRequestOptions, silent: readonly string[], now: number): TokenGrant {
 		const state = this.#getState(account, limit, now);
-		state.bucket.setLimit(this.#reduceLimit(state, limit, silent), now);
+		state.limit.setLimit(limit, this.#countReserved(state, silent), leastPart, now);
 		let count = 0;
-		while (count < want.needed && state.bucket.takeToken(now, 0)) {
+		while (count < want.needed && state.limit.takeToken(now)) {
 			count += 1;
 		}
 
-		if (count < want.needed) {
-			observePace(state.paces, vm, count, now);
-			return {count, waitMs: Math.max(1, state.bucket.getWaitMs(now))};
-		}
-
-		while (count < want.needed + want.extra && state.bucket.getFill(now) > extraFill && state.bucket.takeToken(now, 0)) {
+		const isShort = count < want.needed;
+		while (!isShort && count < want.needed + want.extra && state.limit.getFill(now) > extraFill && state.limit.takeToken(now)) {
 			count += 1;
 		}
 
 		observePace(state.paces, vm, count, now);
-		return {count, waitMs: 0};
+		return {count, waitMs: isShort ? Math.max(1, state.limit.getWaitMs(now)) : 0};
 	}
 
 	/** Forgets the pace of a VM whose process began anew. */
@@ -93,20 +89,21 @@
 	#getState(account: string, limit: BucketLimit, now: number): AccountTokens {
 		let state = this.#accounts.get(account);
 		if (state === undefined) {
-			state = {bucket: new TokenBucket(limit, limit.burst * initialBurstPart, now), limit, paces: new Map()};
+			state = {limit: new WindowLimit(limit, this.windowMs, now, initialBurstPart), paces: new Map()};
 			this.#accounts.set(account, state);
 		}
 
 		return state;
 	}
 
-	#reduceLimit(state: AccountTokens, limit: BucketLimit, silent: readonly string[]): BucketLimit {
+	/** Returns the operations of a window that VMs may use which cannot ask now. */
+	#countReserved(state: AccountTokens, silent: readonly string[]): number {
 		let reserved = 0;
 		for (const vm of silent) {
-			reserved += (state.paces.get(vm)?.perS ?? 0) * unheardPaceFactor;
+			reserved += ((state.paces.get(vm)?.perS ?? 0) * unheardFactor * this.windowMs) / msPerSecond;
 		}
 
-		return {ratePerS: Math.max(limit.ratePerS * leastPart, (limit.ratePerS * rateFactor) - reserved), burst: limit.burst};
+		return reserved;
 	}
 }
 
--- /dev/null
+++ b/packages/decisions/src/limits/window-counter.ts
@@ -0,0 +1,69 @@
+/** Parts of a window in which operations are counted together. */
+const partCount = 50;
+
+/** One part more than a window has: the oldest has not left it as a whole. */
+const slotCount = partCount + 1;
+
+/** Counts operations over a window that slides. */
+export class WindowCounter {
+	readonly #counts = Array.from({length: slotCount}, () => 0);
+	readonly #slotMs: number;
+	#newest = Number.NEGATIVE_INFINITY;
+	#sum = 0;
+
+	/** @param windowMs - Length of the window, milliseconds. */
+	constructor(private readonly windowMs: number) {
+		this.#slotMs = windowMs / partCount;
+	}
+
+	/** Takes in operations; a negative number takes back what was counted lately. */
+	add(count: number, now: number): void {
+		this.#advance(now);
+		const index = this.#newest % slotCount;
+		const added = Math.max(count, -this.#sum);
+		this.#counts[index]! += added;
+		this.#sum += added;
+	}
+
+	/** Takes in operations as if they were spread over the whole window before now. */
+	addEvenly(count: number, now: number): void {
+		this.#advance(now);
+		for (let index = 0; index < slotCount; index++) {
+			this.#counts[index]! += count / slotCount;
+		}
+
+		this.#sum += count;
+	}
+
+	/** Returns the operations in the window that ends now. */
+	getCount(now: number): number {
+		this.#advance(now);
+		return this.#sum;
+	}
+
+	/** Returns the time until at most a number of operations is in the window, milliseconds. */
+	getWaitMs(most: number, now: number): number {
+		this.#advance(now);
+		let left = this.#sum;
+		for (let age = slotCount - 1; age >= 0 && left > most; age--) {
+			left -= this.#counts[(this.#newest - age + slotCount) % slotCount]!;
+			if (left <= most) {
+				return Math.max(1, ((this.#newest + slotCount - age) * this.#slotMs) - now);
+			}
+		}
+
+		return left > most ? this.windowMs : 0;
+	}
+
+	#advance(now: number): void {
+		const slot = Math.max(this.#newest, Math.floor(now / this.#slotMs));
+		const first = Math.max(this.#newest + 1, slot - slotCount + 1);
+		for (let passed = first; passed <= slot; passed++) {
+			const index = ((passed % slotCount) + slotCount) % slotCount;
+			this.#sum -= this.#counts[index]!;
+			this.#counts[index] = 0;
+		}
+
+		this.#newest = slot;
+	}
+}
--- /dev/null
+++ b/packages/decisions/src/limits/window-limit.ts
@@ -0,0 +1,73 @@
+import {type BucketLimit, TokenBucket} from './token-bucket.js';
+import {WindowCounter} from './window-counter.js';
+
+const msPerSecond = 1000;
+
+/** Returns the operations that a limit allows in one window. */
+export function countAllowed({ratePerS, burst}: BucketLimit, windowMs: number): number {
+	return ((ratePerS * windowMs) / msPerSecond) + burst;
+}
+
+/**
+ * Admits what a limit allows in every window: its rate over the window and its burst on top. An account that presses
+ * for long gets that evenly and not in spurts, as a bucket of the same depth refills at the pace of the window.
+ */
+export class WindowLimit {
+	readonly #counter: WindowCounter;
+	readonly #bucket: TokenBucket;
+	#most: number;
+
+	/**
+	 * @param windowMs - Window over which the limit holds, milliseconds.
+	 * @param burstPart - Part of the burst that is there at first; below one the rate counts as used up before now.
+	 */
+	constructor(limit: BucketLimit, private readonly windowMs: number, now: number, burstPart = 1) {
+		this.#most = countAllowed(limit, windowMs);
+		this.#counter = new WindowCounter(windowMs);
+		this.#bucket = new TokenBucket(this.#describeBucket(limit, this.#most), limit.burst * burstPart, now);
+		if (burstPart < 1) {
+			this.#counter.addEvenly(this.#most - limit.burst, now);
+		}
+	}
+
+	/**
+	 * Changes the limit.
+	 * @param reserved - Operations of each window that others may use without asking.
+	 * @param leastPart - Part of the limit that is never reserved.
+	 */
+	setLimit(limit: BucketLimit, reserved: number, leastPart: number, now: number): void {
+		const allowed = countAllowed(limit, this.windowMs);
+		this.#most = Math.max(allowed * leastPart, allowed - reserved);
+		this.#bucket.setLimit(this.#describeBucket(limit, this.#most), now);
+	}
+
+	/** Takes the right to one operation, if there is one. */
+	takeToken(now: number): boolean {
+		if (this.#counter.getCount(now) + 1 > this.#most) {
+			// Who presses on goes on at the pace of the window, not with another burst.
+			this.#bucket.clear(now);
+			return false;
+		}
+
+		if (!this.#bucket.takeToken(now, 0)) {
+			return false;
+		}
+
+		this.#counter.add(1, now);
+		return true;
+	}
+
+	/** Returns the part of the burst that is there. */
+	getFill(now: number): number {
+		return this.#counter.getCount(now) + 1 > this.#most ? 0 : this.#bucket.getFill(now);
+	}
+
+	/** Returns the time until an operation is allowed, milliseconds. */
+	getWaitMs(now: number): number {
+		return Math.max(this.#bucket.getWaitMs(now), this.#counter.getWaitMs(this.#most - 1, now));
+	}
+
+	#describeBucket({burst}: BucketLimit, most: number): BucketLimit {
+		return {ratePerS: (most * msPerSecond) / this.windowMs, burst};
+	}
+}
--- a/packages/decisions/src/tests/limits/token-issuer.test.ts
+++ b/packages/decisions/src/tests/limits/token-issuer.test.ts
@@ -11,7 +11,7 @@
 }
 
 test('a refusal says when there is a token again, and then there is', t => {
-	const issuer = new TokenIssuer();
+	const issuer = new TokenIssuer(5000);
 	const first = ask(issuer, 'vm1', 0, {needed: 100});
 	t.true(first.count < 100);
 	t.true(first.waitMs > 0);
@@ -19,13 +19,13 @@
 });
 
 test('tokens ahead of need are only given while there are plenty', t => {
-	const issuer = new TokenIssuer();
+	const issuer = new TokenIssuer(5000);
 	t.is(ask(issuer, 'vm1', 0, {extra: 5}).count, 1, 'a new issuer does not know what its predecessor gave');
 	t.is(ask(issuer, 'vm1', 5000, {extra: 5}).count, 6);
 });
 
 test('what VMs give out without asking is kept back from the others', t => {
-	const issuer = new TokenIssuer();
+	const issuer = new TokenIssuer(5000);
 	let given = 0;
 	for (let now = 0; now < 6000; now += 50) {
 		given += ask(issuer, 'lost', now).count;
@@ -51,7 +51,7 @@
 	fc.assert(fc.property(fc.array(fc.record({
 		gapMs: fc.integer({min: 0, max: 400}), vm: fc.integer({min: 1, max: 5}), needed: fc.integer({min: 1, max: 30}), extra: fc.integer({min: 0, max: 10}),
 	}), {minLength: 20, maxLength: 200}), asks => {
-		const issuer = new TokenIssuer();
+		const issuer = new TokenIssuer(5000);
 		const given: Array<{at: number; count: number}> = [];
 		let now = 0;
 		for (const {gapMs, vm, needed, extra} of asks) {
--- /dev/null
+++ b/packages/decisions/src/tests/limits/window-limit.test.ts
@@ -0,0 +1,92 @@
+import fc from 'fast-check';
+import test from 'ava';
+import {countAllowed, TokenBucket, WindowCounter, WindowLimit} from '../../limits/index.js';
+
+const windowMs = 5000;
+const limit = {ratePerS: 100, burst: 100};
+
+/** Asks at an even pace and returns the times at which operations were admitted. */
+function askEvenly(take: (now: number) => boolean, perS: number, forMs: number): number[] {
+	const times: number[] = [];
+	for (let now = 0; now < forMs; now += 1000 / perS) {
+		if (take(now)) {
+			times.push(now);
+		}
+	}
+
+	return times;
+}
+
+function countMost(times: readonly number[]): number {
+	return Math.max(...times.map((start, index) => times.slice(index).filter(time => time < start + windowMs).length));
+}
+
+test('an account at 1.17 times its rate for long is within its limit in every window, and served; a bucket refuses it', t => {
+	const whole = new WindowLimit(limit, windowMs, 0);
+	const bucket = new TokenBucket(limit, limit.burst, 0);
+	const asked = 1.17 * limit.ratePerS * 20;
+	const served = askEvenly(now => whole.takeToken(now), 1.17 * limit.ratePerS, 20_000);
+	const servedByBucket = askEvenly(now => bucket.takeToken(now, 0), 1.17 * limit.ratePerS, 20_000);
+	t.true(served.length >= 0.99 * asked, `${served.length} of ${asked}`);
+	t.true(servedByBucket.length < 0.9 * asked, `${servedByBucket.length} of ${asked}`);
+	t.true(countMost(served) <= countAllowed(limit, windowMs));
+});
+
+test('an account at five times its rate gets what a window allows and no more, in each second some', t => {
+	const whole = new WindowLimit(limit, windowMs, 0);
+	const served = askEvenly(now => whole.takeToken(now), 5 * limit.ratePerS, 20_000);
+	t.true(countMost(served) <= countAllowed(limit, windowMs));
+	t.true(served.length >= 0.95 * 4 * countAllowed(limit, windowMs), `${served.length}`);
+	for (let second = 6; second < 20; second++) {
+		t.true(served.filter(time => time >= second * 1000 && time < (second + 1) * 1000).length > 0.5 * limit.ratePerS, `second ${second}`);
+	}
+});
+
+test('a limit whose past is not known begins as if the rate had been used', t => {
+	const young = new WindowLimit(limit, windowMs, 0, 0.3);
+	const served = askEvenly(now => young.takeToken(now), 1000, windowMs);
+	t.true(served.length <= countAllowed(limit, windowMs));
+	t.is(served.filter(time => time < 20).length, 20);
+	t.true(served.filter(time => time < 1000).length <= (0.3 * limit.burst) + (1.2 * limit.ratePerS) + 1);
+});
+
+test('a window counts what is in it, and says when there is room', t => {
+	fc.assert(fc.property(fc.array(fc.record({gapMs: fc.integer({min: 0, max: 900}), count: fc.integer({min: 1, max: 5})}), {minLength: 1, maxLength: 60}), steps => {
+		const counter = new WindowCounter(windowMs);
+		const added: Array<{at: number; count: number}> = [];
+		let now = 0;
+		for (const {gapMs, count} of steps) {
+			now += gapMs;
+			counter.add(count, now);
+			added.push({at: now, count});
+			const exact = added.filter(({at}) => at > now - windowMs).reduce((sum, entry) => sum + entry.count, 0);
+			const older = added.filter(({at}) => at > now - (1.02 * windowMs)).reduce((sum, entry) => sum + entry.count, 0);
+			if (counter.getCount(now) < exact || counter.getCount(now) > older) {
+				return false;
+			}
+
+			const waitMs = counter.getWaitMs(3, now);
+			if (waitMs > 0) {
+				const later = new WindowCounter(windowMs);
+				for (const entry of added) {
+					later.add(entry.count, entry.at);
+				}
+
+				if (later.getCount(now + waitMs) > 3) {
+					return false;
+				}
+			}
+		}
+
+		return true;
+	}), {seed: 11, numRuns: 200});
+	t.pass();
+});
+
+test('what is taken back never makes room that was not used', t => {
+	const counter = new WindowCounter(windowMs);
+	counter.add(2, 0);
+	counter.add(-5, 10);
+	t.is(counter.getCount(10), 0);
+	t.is(counter.getCount(9000), 0);
+});
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -26,7 +26,7 @@
 /** What the coordinator knows of the VMs: it answers their heartbeats and divides what they share. */
 export class Coordinator {
 	readonly #members = new Map<string, MemberState>();
-	readonly #issuer = new TokenIssuer();
+	readonly #issuer: TokenIssuer;
 	#registered: ReadonlySet<string> = new Set();
 	/** Absent until the list was read: an empty list would say that every instance is gone. */
 	#instances: Report['instances'];
@@ -37,7 +37,10 @@
 		private readonly terms: TermRegistry,
 		private readonly configuration: ConfigurationView,
 		private readonly clock: Clock,
-	) {}
+		limitWindowMs: number,
+	) {
+		this.#issuer = new TokenIssuer(limitWindowMs);
+	}
 
 	/** VMs that may hold a lease or a share, this one included. */
 	get memberCount(): number {
--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -1,9 +1,9 @@
 import {
-	observePace, TokenBucket, unheardPaceFactor, type TokenGrant, type TokenWant,
+	countAllowed, unheardFactor, WindowCounter, type TokenGrant, type TokenWant,
 } from '@chicorysaddle/decisions';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type DecisionLog, type GatewayMetrics} from '../observability/index.js';
-import {type Clock} from '../ports/index.js';
+import {type AdjustableSettingsSource, type Clock} from '../ports/index.js';
 
 /** Asks the coordinator for tokens; undefined when it does not answer. */
 export type TokenChannel = (wants: Readonly<Record<string, TokenWant>>) => Promise<Readonly<Record<string, TokenGrant>> | undefined>;
@@ -17,8 +17,13 @@
 /** Longest time for which a refusal of the coordinator is repeated without asking, milliseconds. */
 const repeatMs = 150;
 
-/** Operations of one account that may be admitted at once without word from the coordinator. */
-const unheardBurst = 1;
+/** Time for which a token that was given back may be used again, milliseconds: the next statements of the account. */
+const givenBackMs = 300;
+
+/** Part of its even share that a process without word from the coordinator begins with: what its VM used before is not known. */
+const youngPart = 0.5;
+
+const msPerSecond = 1000;
 
 type Waiter = (waitMs: number) => void;
 
@@ -28,21 +33,32 @@
 	deniedUntil: number;
 	isAsking: boolean;
 	waiting: Waiter[];
-	/** Limit while the coordinator does not answer: the pace of before. */
-	unheard: TokenBucket | undefined;
+	/** What this VM used in the window. */
+	readonly used: WindowCounter;
+	/** What this VM may use in a window while the coordinator does not answer. */
+	unheardMost: number | undefined;
 };
 
 /** Admits operations within each account's rate and burst over all VMs. */
 export class AccountLimiter {
 	readonly #accounts = new Map<string, AccountState>();
-	readonly #paces = new Map<string, {perS: number; at: number}>();
 	#channel: TokenChannel | undefined;
 	#members = 1;
 	#isFlushing = false;
 	/** Since when the coordinator does not answer. */
 	#localSince: number | undefined;
 
-	constructor(private readonly configuration: ConfigurationView, private readonly clock: Clock, private readonly metrics: GatewayMetrics, private readonly log: DecisionLog) {}
+	readonly #startedAt: number;
+
+	constructor(
+		private readonly configuration: ConfigurationView,
+		private readonly getSettings: AdjustableSettingsSource,
+		private readonly clock: Clock,
+		private readonly metrics: GatewayMetrics,
+		private readonly log: DecisionLog,
+	) {
+		this.#startedAt = clock.now();
+	}
 
 	/** Sets the way to the coordinator. */
 	setChannel(channel: TokenChannel): void {
@@ -63,7 +79,7 @@
 		const state = this.#getState(account);
 		if (state.stock > 0 && now < state.stockUntil) {
 			state.stock -= 1;
-			observePace(this.#paces, account, 1, now);
+			state.used.add(1, now);
 			return 0;
 		}
 
@@ -78,6 +94,21 @@
 		});
 	}
 
+	/** Takes back the right to an operation that never reached an instance: the next one of the account may use it. */
+	giveBack(account: string): void {
+		const state = this.#accounts.get(account);
+		if (state === undefined) {
+			return;
+		}
+
+		const now = this.clock.now();
+		state.used.add(-1, now);
+		if (state.unheardMost === undefined) {
+			state.stock = now < state.stockUntil ? state.stock + 1 : 1;
+			state.stockUntil = Math.max(state.stockUntil, now + givenBackMs);
+		}
+	}
+
 	/** Describes an account's limit and who keeps it, for a refusal. */
 	describeLimit(account: string): string {
 		const limit = this.configuration.getAccount(account);
@@ -98,11 +129,13 @@
 	async #flush(): Promise<void> {
 		const asked = new Map<string, Waiter[]>();
 		const wants: Record<string, TokenWant> = {};
+		const now = this.clock.now();
+		const aheadPart = (aheadS * msPerSecond) / this.getSettings().limitWindowMs;
 		for (const [account, state] of this.#accounts) {
 			if (state.waiting.length > 0 && !state.isAsking) {
 				state.isAsking = true;
 				asked.set(account, state.waiting);
-				wants[account] = {needed: state.waiting.length, extra: Math.floor((this.#paces.get(account)?.perS ?? 0) * aheadS)};
+				wants[account] = {needed: state.waiting.length, extra: Math.floor(state.used.getCount(now) * aheadPart)};
 				state.waiting = [];
 			}
 		}
@@ -130,7 +163,7 @@
 
 	#settle(account: string, state: AccountState, waiters: readonly Waiter[], grant: TokenGrant): void {
 		const now = this.clock.now();
-		state.unheard = undefined;
+		state.unheardMost = undefined;
 		if (this.#localSince !== undefined) {
 			this.log.logEvent('limits.shared', {localMs: Math.round(now - this.#localSince)});
 			this.#localSince = undefined;
@@ -138,14 +171,14 @@
 
 		for (const [index, settle] of waiters.entries()) {
 			if (index < grant.count) {
-				observePace(this.#paces, account, 1, now);
+				state.used.add(1, now);
 				settle(0);
 			} else {
 				settle(Math.max(1, grant.waitMs));
 			}
 		}
 
-		state.stock = Math.max(0, grant.count - waiters.length);
+		state.stock = (now < state.stockUntil ? state.stock : 0) + Math.max(0, grant.count - waiters.length);
 		state.stockUntil = now + stockMs;
 		if (grant.waitMs > 0) {
 			state.deniedUntil = now + Math.min(repeatMs, grant.waitMs);
@@ -154,27 +187,37 @@
 
 	#settleUnheard(account: string, state: AccountState, waiters: readonly Waiter[]): void {
 		const now = this.clock.now();
-		const limit = this.configuration.getAccount(account);
-		const even = (limit?.ratePerS ?? 0) / this.#members;
 		this.metrics.addCount('limit_unheard');
 		if (this.#localSince === undefined) {
 			this.#localSince = now;
 			this.log.logEvent('limits.local', {members: this.#members});
 		}
 
-		state.unheard ??= new TokenBucket({
-			ratePerS: Math.max(even, (this.#paces.get(account)?.perS ?? 0) * unheardPaceFactor), burst: Math.max(unheardBurst, (limit?.burst ?? 0) / this.#members),
-		}, unheardBurst, now);
+		state.unheardMost ??= this.#chooseUnheardMost(account, state, now);
 		for (const settle of waiters) {
-			settle(state.unheard.takeToken(now, 0) ? 0 : Math.max(1, state.unheard.getWaitMs(now)));
+			if (state.used.getCount(now) + 1 <= state.unheardMost) {
+				state.used.add(1, now);
+				settle(0);
+			} else {
+				settle(state.used.getWaitMs(state.unheardMost - 1, now));
+			}
 		}
 	}
 
+	/** Returns what this VM may use of an account's limit in a window without asking: its even share, or what it used of late with the overage. */
+	#chooseUnheardMost(account: string, state: AccountState, now: number): number {
+		const {limitWindowMs} = this.getSettings();
+		const limit = this.configuration.getAccount(account);
+		const even = limit === undefined ? 0 : countAllowed(limit, limitWindowMs) / this.#members;
+		const knownPart = Math.min(1, youngPart + ((1 - youngPart) * ((now - this.#startedAt) / limitWindowMs)));
+		return Math.max(1, even * knownPart, state.used.getCount(now) * unheardFactor);
+	}
+
 	#getState(account: string): AccountState {
 		let state = this.#accounts.get(account);
 		if (state === undefined) {
 			state = {
-				stock: 0, stockUntil: 0, deniedUntil: 0, isAsking: false, waiting: [], unheard: undefined,
+				stock: 0, stockUntil: 0, deniedUntil: 0, isAsking: false, waiting: [], used: new WindowCounter(this.getSettings().limitWindowMs), unheardMost: undefined,
 			};
 			this.#accounts.set(account, state);
 		}
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -276,7 +276,9 @@
 			return;
 		}
 
-		this.#answer(request, await this.#single.run(begun.operation, request, prepared));
+		const outcome = await this.#single.run(begun.operation, request, prepared);
+		this.#giveBackUnrun(begun.operation, outcome);
+		this.#answer(request, outcome);
 	}
 
 	async #runInTransaction(transaction: Transaction, request: StatementRequest, prepared: PreparedStatement | undefined): Promise<void> {
@@ -285,6 +287,7 @@
 			? await transaction.run(request, prepared)
 			: {outcome: {kind: 'refused', refusal}, isOpen: false};
 		if (!isOpen) {
+			this.#giveBackUnrun(transaction.operation, outcome);
 			this.#failTransaction();
 		}
 
@@ -340,7 +343,7 @@
 
 		return {
 			kind: 'begun', operation: {
-				id: request.id, route, account, startedAt, session: this, lastCommit: this.#lastCommit,
+				id: request.id, route, account, startedAt, session: this, lastCommit: this.#lastCommit, mayHaveRun: false,
 			},
 		};
 	}
@@ -349,6 +352,13 @@
 		return this.services.configuration.getAccount(account) === undefined ? 0 : this.services.limiter.takeOperation(account);
 	}
 
+	/** Counts an operation that no instance took as none: its account may use the right once more. */
+	#giveBackUnrun(operation: Operation, outcome: OperationOutcome): void {
+		if (outcome.kind === 'refused' && !operation.mayHaveRun) {
+			this.services.limiter.giveBack(operation.account);
+		}
+	}
+
 	/** Checks that the account of a transaction that is open still has its key. */
 	#checkAccess(operation: Operation): Refusal | undefined {
 		if (this.#closingRefusal !== undefined) {
--- a/packages/gateway/src/sessions/operation.ts
+++ b/packages/gateway/src/sessions/operation.ts
@@ -14,6 +14,8 @@
 	readonly session: SessionValues;
 	/** Newest commit of the session. */
 	readonly lastCommit: LogPosition | undefined;
+	/** Whether an instance may have run any of it. */
+	mayHaveRun: boolean;
 };
 
 /** Operation that may begin, or why it may not. */
--- a/packages/gateway/src/sessions/statement-runner.ts
+++ b/packages/gateway/src/sessions/statement-runner.ts
@@ -81,7 +81,9 @@
 		}
 
 		this.#observePosition(place, operation, outcome!, sentAt);
-		return this.#convert(place, outgoing, outcome!, deadline - sentAt);
+		const result = this.#convert(place, outgoing, outcome!, deadline - sentAt);
+		operation.mayHaveRun ||= result.kind !== 'not-run';
+		return result;
 	}
 
 	async #prepare(place: Place, operation: Operation, prepared: PreparedStatement | undefined): Promise<boolean> {
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -47,9 +47,9 @@
 	const dispatcher = new Dispatcher({
 		configuration, instances, terms, connector, clock, metrics, log, zone: identity.zone, random: Math.random, getSettings,
 	});
-	const limiter = new AccountLimiter(configuration, clock, metrics, log);
+	const limiter = new AccountLimiter(configuration, getSettings, clock, metrics, log);
 	const duty = new DutyKeeper(table, identity, clock, log);
-	const coordinator = new Coordinator(identity.vm, duty, terms, configuration, clock);
+	const coordinator = new Coordinator(identity.vm, duty, terms, configuration, clock, getSettings().limitWindowMs);
 	const promoter = new Promoter({
 		vm: identity.vm, duty, coordinator, terms, instances, configuration, dispatcher, table, connector, service: promotion, clock, log, metrics,
 	});
