--- a/packages/decisions/src/limits/token-issuer.ts
+++ b/packages/decisions/src/limits/token-issuer.ts
@@ -71,7 +71,8 @@
 		}
 
 		const isShort = count < want.needed;
-		while (!isShort && count < want.needed + want.extra && state.limit.getFill(now) > extraFill && state.limit.takeToken(now)) {
+		const most = isShort ? count : want.needed + want.extra;
+		while (count < most && state.limit.getFill(now) > extraFill && state.limit.takeToken(now)) {
 			count += 1;
 		}
 
--- a/packages/decisions/src/tests/limits/window-limit.test.ts
+++ b/packages/decisions/src/tests/limits/window-limit.test.ts
@@ -1,6 +1,8 @@
 import fc from 'fast-check';
 import test from 'ava';
-import {countAllowed, TokenBucket, WindowCounter, WindowLimit} from '../../limits/index.js';
+import {
+	countAllowed, TokenBucket, WindowCounter, WindowLimit,
+} from '../../limits/index.js';
 
 const windowMs = 5000;
 const limit = {ratePerS: 100, burst: 100};
@@ -50,6 +52,15 @@
 	t.true(served.filter(time => time < 1000).length <= (0.3 * limit.burst) + (1.2 * limit.ratePerS) + 1);
 });
 
+function sumSince(added: ReadonlyArray<{readonly at: number; readonly count: number}>, time: number): number {
+	let sum = 0;
+	for (const {at, count} of added) {
+		sum += at > time ? count : 0;
+	}
+
+	return sum;
+}
+
 test('a window counts what is in it, and says when there is room', t => {
 	fc.assert(fc.property(fc.array(fc.record({gapMs: fc.integer({min: 0, max: 900}), count: fc.integer({min: 1, max: 5})}), {minLength: 1, maxLength: 60}), steps => {
 		const counter = new WindowCounter(windowMs);
@@ -59,9 +70,7 @@
 			now += gapMs;
 			counter.add(count, now);
 			added.push({at: now, count});
-			const exact = added.filter(({at}) => at > now - windowMs).reduce((sum, entry) => sum + entry.count, 0);
-			const older = added.filter(({at}) => at > now - (1.02 * windowMs)).reduce((sum, entry) => sum + entry.count, 0);
-			if (counter.getCount(now) < exact || counter.getCount(now) > older) {
+			if (counter.getCount(now) < sumSince(added, now - windowMs) || counter.getCount(now) > sumSince(added, now - (1.02 * windowMs))) {
 				return false;
 			}
 
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -23,6 +23,17 @@
 	heardAt: number;
 };
 
+/** What a coordinator works with. */
+export type CoordinatorParts = {
+	readonly vm: string;
+	readonly duty: DutyKeeper;
+	readonly terms: TermRegistry;
+	readonly configuration: ConfigurationView;
+	readonly clock: Clock;
+	/** Window over which the limits of client accounts hold, milliseconds. */
+	readonly limitWindowMs: number;
+};
+
 /** What the coordinator knows of the VMs: it answers their heartbeats and divides what they share. */
 export class Coordinator {
 	readonly #members = new Map<string, MemberState>();
@@ -31,20 +42,13 @@
 	/** Absent until the list was read: an empty list would say that every instance is gone. */
 	#instances: Report['instances'];
 
-	constructor(
-		private readonly vm: string,
-		private readonly duty: DutyKeeper,
-		private readonly terms: TermRegistry,
-		private readonly configuration: ConfigurationView,
-		private readonly clock: Clock,
-		limitWindowMs: number,
-	) {
-		this.#issuer = new TokenIssuer(limitWindowMs);
+	constructor(private readonly parts: CoordinatorParts) {
+		this.#issuer = new TokenIssuer(parts.limitWindowMs);
 	}
 
 	/** VMs that may hold a lease or a share, this one included. */
 	get memberCount(): number {
-		return new Set([...this.#registered, ...this.#members.keys(), this.vm]).size;
+		return new Set([...this.#registered, ...this.#members.keys(), this.parts.vm]).size;
 	}
 
 	/** Sets the VMs that the store lists. */
@@ -54,8 +58,8 @@
 
 	/** Returns the registered VMs that have not been heard for a time. */
 	getSilent(silentMs: number): string[] {
-		const now = this.clock.now();
-		return [...this.#registered].filter(vm => vm !== this.vm && now - Math.max(this.#members.get(vm)?.heardAt ?? 0, this.duty.tookOverAt) > silentMs);
+		const now = this.parts.clock.now();
+		return [...this.#registered].filter(vm => vm !== this.parts.vm && now - Math.max(this.#members.get(vm)?.heardAt ?? 0, this.parts.duty.tookOverAt) > silentMs);
 	}
 
 	/** Forgets a VM that is gone. */
@@ -65,7 +69,7 @@
 
 	/** Answers a heartbeat. */
 	receiveHeartbeat(heartbeat: Heartbeat, link: PeerLink | undefined): Report {
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		const isDelayed = heartbeat.sequence < (this.#members.get(heartbeat.vm)?.heartbeat.sequence ?? 0)
 			&& heartbeat.incarnation === this.#members.get(heartbeat.vm)?.heartbeat.incarnation;
 		if (!isDelayed) {
@@ -103,11 +107,11 @@
 
 	createReport(vm: string, sequence: number | undefined): Report {
 		const positions: Report['positions'] = {};
-		const terms = this.terms.getTerms();
+		const terms = this.parts.terms.getTerms();
 		const heartbeat = this.#members.get(vm)?.heartbeat;
 		const isKnown = terms.every(term => heartbeat?.revisions[term.group] === term.revision);
 		for (const {group} of terms) {
-			const newest = this.terms.getNewestPosition(group);
+			const newest = this.parts.terms.getNewestPosition(group);
 			if (newest !== undefined) {
 				positions[group] = {position: newest.position, ageMs: newest.ageMs};
 			}
@@ -116,30 +120,30 @@
 		return {
 			kind: 'report',
 			sequence,
-			stampMs: this.clock.now(),
-			token: this.duty.token,
-			dutyRevision: this.duty.version,
+			stampMs: this.parts.clock.now(),
+			token: this.parts.duty.token,
+			dutyRevision: this.parts.duty.version,
 			terms: isKnown ? undefined : terms,
 			isFollower: this.#isFollower(vm),
 			instances: heartbeat?.instanceRevision === this.#instances?.revision ? undefined : this.#instances,
 			positions,
-			configurationVersion: this.configuration.version,
+			configurationVersion: this.parts.configuration.version,
 			members: this.memberCount,
 		};
 	}
 
 	/** Sets the instances that the VMs are told. */
 	setInstances(entries: readonly Instance[], now: number): void {
-		this.#instances = {revision: `${this.duty.token}.${Math.round(now)}`, entries: [...entries]};
+		this.#instances = {revision: `${this.parts.duty.token}.${Math.round(now)}`, entries: [...entries]};
 	}
 
 	/** Gives a VM tokens of the accounts that it asks for. */
 	issueTokens(vm: string, wants: TokenWants): TokenGrants {
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		const silent = this.getSilent(heardMs);
 		const grants: TokenGrants = {};
 		for (const [account, want] of Object.entries(wants)) {
-			const limit = this.configuration.getAccount(account);
+			const limit = this.parts.configuration.getAccount(account);
 			grants[account] = limit === undefined
 				? {count: 0, waitMs: heardMs}
 				: this.#issuer.issue({
@@ -152,17 +156,17 @@
 
 	/** Says whether a VM is one of the few that follow the store beside the coordinator. */
 	#isFollower(vm: string): boolean {
-		const now = this.clock.now();
-		const heard = [...this.#members].filter(([name, member]) => name !== this.vm && now - member.heardAt <= heardMs).map(([name]) => name).toSorted();
+		const now = this.parts.clock.now();
+		const heard = [...this.#members].filter(([name, member]) => name !== this.parts.vm && now - member.heardAt <= heardMs).map(([name]) => name).toSorted();
 		return heard.indexOf(vm) < followerCount;
 	}
 
 	/** Returns the evidence that other VMs have on a group's primary, on this VM's clock. */
 	getEvidence(group: string): PrimaryEvidence[] {
-		const now = this.clock.now();
+		const now = this.parts.clock.now();
 		return [...this.#members].flatMap(([vm, member]) => {
 			const evidence = member.heartbeat.evidence[group];
-			if (vm === this.vm || evidence === undefined || now - member.heardAt > heardMs) {
+			if (vm === this.parts.vm || evidence === undefined || now - member.heardAt > heardMs) {
 				return [];
 			}
 
@@ -178,8 +182,8 @@
 
 	/** Returns how many VMs were heard lately, this one included. */
 	countHeard(): number {
-		const now = this.clock.now();
-		return [...this.#members].filter(([vm, member]) => vm !== this.vm && now - member.heardAt <= heardMs).length + 1;
+		const now = this.parts.clock.now();
+		return [...this.#members].filter(([vm, member]) => vm !== this.parts.vm && now - member.heardAt <= heardMs).length + 1;
 	}
 
 	/**
@@ -188,15 +192,15 @@
 	 * @param registered - VMs that the store listed after that.
 	 */
 	isClosed(group: string, revision: number, closedAt: number, registered: ReadonlySet<string>): boolean {
-		const now = this.clock.now();
-		if (now < this.duty.tookOverAt + termLeaseMs + leaseMarginMs) {
+		const now = this.parts.clock.now();
+		if (now < this.parts.duty.tookOverAt + termLeaseMs + leaseMarginMs) {
 			return false;
 		}
 
 		const others = new Set([...registered, ...this.#members.keys()]);
-		others.delete(this.vm);
+		others.delete(this.parts.vm);
 		const isAcknowledged = [...others].every(vm => (this.#members.get(vm)?.heartbeat.revisions[group] ?? 0) >= revision);
-		return (isAcknowledged && this.terms.isDrained(group)) || now >= closedAt + termLeaseMs + leaseMarginMs;
+		return (isAcknowledged && this.parts.terms.isDrained(group)) || now >= closedAt + termLeaseMs + leaseMarginMs;
 	}
 
 	#observePositions(heartbeat: Heartbeat): void {
@@ -207,7 +211,7 @@
 		// The sender had our stamp for this long when it wrote the heartbeat, which was no earlier than that.
 		const sentAt = heartbeat.echo.stampMs + heartbeat.echo.ageMs;
 		for (const [group, {position, ageMs}] of Object.entries(heartbeat.positions)) {
-			this.terms.observePosition(group, position, Math.min(sentAt, this.clock.now()) - ageMs);
+			this.parts.terms.observePosition(group, position, Math.min(sentAt, this.parts.clock.now()) - ageMs);
 		}
 	}
 }
--- a/packages/gateway/src/tests/fakes/test-cluster.ts
+++ b/packages/gateway/src/tests/fakes/test-cluster.ts
@@ -158,7 +158,9 @@
 		const gateway = createGateway({
 			vm, zone: 'a', incarnation: `run-${this.#incarnations}`, peerAddress: `${vm}:1`,
 		}, {
-			clock: this.time, table: new FakeTable(vm, this.store), connector, promotion: this.database, network: new FakeNetwork(vm, this.network), getSettings: () => ({drainMs: 7000, limitWindowMs: 5000, capacity: 1, seeds: this.vms.map(name => `${name}:1`)}), logOutput: this.log,
+			clock: this.time, table: new FakeTable(vm, this.store), connector, promotion: this.database, network: new FakeNetwork(vm, this.network), getSettings: () => ({
+				drainMs: 7000, limitWindowMs: 5000, capacity: 1, seeds: this.vms.map(name => `${name}:1`),
+			}), logOutput: this.log,
 		});
 		this.gateways.set(vm, gateway);
 		this.connectors.set(vm, connector);
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -49,7 +49,9 @@
 	});
 	const limiter = new AccountLimiter(configuration, getSettings, clock, metrics, log);
 	const duty = new DutyKeeper(table, identity, clock, log);
-	const coordinator = new Coordinator(identity.vm, duty, terms, configuration, clock, getSettings().limitWindowMs);
+	const coordinator = new Coordinator({
+		vm: identity.vm, duty, terms, configuration, clock, limitWindowMs: getSettings().limitWindowMs,
+	});
 	const promoter = new Promoter({
 		vm: identity.vm, duty, coordinator, terms, instances, configuration, dispatcher, table, connector, service: promotion, clock, log, metrics,
 	});
