--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -50,6 +50,12 @@
 /** Part of a VM's connections that is kept while idle: an instance counts those of VMs that lost power until it misses them, and their successors need room. */
 const keptPart = 0.5;
 
+/** Time for which an instance goes on counting connections of a VM that lost power, milliseconds. */
+const lingerMs = 3000;
+
+/** Part of its connections that a process opens while those of its predecessor may linger: more than what is kept idle is not free. */
+const youngPart = 0.2;
+
 /** Time by which others have to have heard a primary later than this VM, milliseconds: more than an answer takes. */
 const cutOffMs = 200;
 
@@ -88,9 +94,11 @@
 	/** Groups that are looked through now, with whether to look again. */
 	readonly #pumping = new Map<string, boolean>();
 	#members = 1;
+	readonly #startedAt: number;
 	#sweepTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly parts: DispatcherParts) {
+		this.#startedAt = parts.clock.now();
 		parts.instances.onChanged((before, after) => {
 			this.#observeInstance(before, after);
 		});
@@ -356,7 +364,8 @@
 
 	#getLimit(instance: Instance): number {
 		const total = this.parts.configuration.getGroup(instance.group)?.maxConnections ?? 1;
-		return Math.max(1, Math.floor(total / this.#members));
+		const isYoung = this.parts.clock.now() - this.#startedAt < lingerMs;
+		return Math.max(1, Math.floor((total * (isYoung ? youngPart : 1)) / this.#members));
 	}
 
 	#observeInstance(before: Instance | undefined, after: Instance | undefined): void {
--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -43,7 +43,8 @@
 export class AccountLimiter {
 	readonly #accounts = new Map<string, AccountState>();
 	#channel: TokenChannel | undefined;
-	#members = 1;
+	/** Absent until the store told who the VMs are. */
+	#members: number | undefined;
 	#isFlushing = false;
 	/** Since when the coordinator does not answer. */
 	#localSince: number | undefined;
@@ -67,7 +68,12 @@
 
 	/** Sets how many VMs an account's limit is divided over while nobody coordinates. */
 	setMembers(members: number): void {
-		this.#members = Math.max(1, members);
+		if (members > 0 && members !== this.#members) {
+			this.#members = members;
+			for (const state of this.#accounts.values()) {
+				state.unheardMost = undefined;
+			}
+		}
 	}
 
 	/**
@@ -112,7 +118,7 @@
 	/** Describes an account's limit and who keeps it, for a refusal. */
 	describeLimit(account: string): string {
 		const limit = this.configuration.getAccount(account);
-		const keeper = this.#localSince === undefined ? 'over all VMs' : `kept by this VM alone, one of ${this.#members}`;
+		const keeper = this.#localSince === undefined ? 'over all VMs' : `kept by this VM alone, one of ${this.#members ?? 'an unknown number'}`;
 		return `${limit?.ratePerS ?? 0} operations a second, ${limit?.burst ?? 0} at once, ${keeper}`;
 	}
 
@@ -190,7 +196,7 @@
 		this.metrics.addCount('limit_unheard');
 		if (this.#localSince === undefined) {
 			this.#localSince = now;
-			this.log.logEvent('limits.local', {members: this.#members});
+			this.log.logEvent('limits.local', {members: this.#members ?? 0});
 		}
 
 		state.unheardMost ??= this.#chooseUnheardMost(account, state, now);
@@ -208,7 +214,7 @@
 	#chooseUnheardMost(account: string, state: AccountState, now: number): number {
 		const {limitWindowMs} = this.getSettings();
 		const limit = this.configuration.getAccount(account);
-		const even = limit === undefined ? 0 : countAllowed(limit, limitWindowMs) / this.#members;
+		const even = limit === undefined || this.#members === undefined ? 0 : countAllowed(limit, limitWindowMs) / this.#members;
 		const knownPart = Math.min(1, youngPart + ((1 - youngPart) * ((now - this.#startedAt) / limitWindowMs)));
 		return Math.max(1, even * knownPart, state.used.getCount(now) * unheardFactor);
 	}
--- a/packages/gateway/src/tests/dispatch/dispatcher.test.ts
+++ b/packages/gateway/src/tests/dispatch/dispatcher.test.ts
@@ -53,3 +53,40 @@
 
 	cluster.stop();
 });
+
+test.serial('after all VMs lost power each gets connections, though those of before are still counted', async t => {
+	const vms = Array.from({length: 7}, (_, index) => `vm${index + 1}`);
+	const accounts = Array.from({length: 8}, (_, index) => `account${index + 1}`);
+	const cluster = new TestCluster(vms);
+	Object.assign(cluster.database.options, {
+		slots: 2, queue: 16, handshakeMs: 12, serviceMs: 14, maxConnections: 30,
+	});
+	await cluster.start(createConfiguration(1, {
+		groups: [{name: 'db', maxConnections: 30}],
+		accounts: accounts.map(name => ({
+			name, keyDigests: [name], priority: 1, ratePerS: 1000, burst: 1000,
+		})),
+	}));
+	await load(cluster, vms, accounts, 60, 2);
+	await cluster.time.advance(1600);
+	for (const {gateway} of cluster.gateways.values()) {
+		gateway.stop();
+	}
+
+	// What the instances count of the former processes.
+	const lingering = cluster.database.primary.connections.size;
+	t.true(lingering >= 14 && lingering < 28, `${lingering}`);
+	for (const vm of vms) {
+		await cluster.startVm(vm);
+	}
+
+	await cluster.time.advance(200);
+	const byVm = await Promise.all(vms.map(async vm => load(cluster, [vm], accounts, 6, 2)));
+	for (const [index, seconds] of byVm.entries()) {
+		for (const {asked, served} of seconds) {
+			t.true(served >= asked * 0.8, `${vms[index]}: ${served} of ${asked}`);
+		}
+	}
+
+	cluster.stop();
+});
