Membership: VMs without a coordinator ask the store and each other at a bounded pace

Instances and configuration were asked 3 and 4 times a second. Ruled out: the poll interval of 400 ms by itself (2.5 a second). Change: a hint is followed at once only once in 400 ms, nobody's ignorance shortens the pause to the next read; a store that is away is read every 800 ms, instances and configuration back off to a second with jitter (Backoff, a class of its own). Calls are counted by name and failure (countTableCalls). Test: 'VMs without a coordinator and a store ask both at a bounded pace' fails before (88 calls), passes now (at most 20).

--- a/packages/gateway/src/configuration/configuration-keeper.ts
+++ b/packages/gateway/src/configuration/configuration-keeper.ts
@@ -1,3 +1,4 @@
+import {Backoff} from '@chicorysaddle/decisions';
 import {type DecisionLog} from '../observability/index.js';
 import {type ConfigurationReading, type CoordinationTable, type StoreResult} from '../ports/index.js';
 import {formatConfiguration, parseConfiguration} from './configuration-codec.js';
@@ -10,8 +11,9 @@
 /** Time for a call beyond its wait, milliseconds. */
 const callTimeoutMs = 1000;
 
-/** Pause after a call that failed, milliseconds. */
+/** Pause after a call that failed, and the longest after several, milliseconds: as long as a call may take. */
 const failurePauseMs = 250;
+const longestPauseMs = callTimeoutMs;
 
 /** Keeps the newest configuration in force: from the store, and from other VMs while the store turns this one away. */
 export class ConfigurationKeeper {
@@ -24,7 +26,12 @@
 	#wake: (() => void) | undefined;
 	readonly #listeners: Array<(configuration: GatewayConfiguration) => void> = [];
 
-	constructor(private readonly table: CoordinationTable, private readonly view: ConfigurationView, private readonly log: DecisionLog) {}
+	readonly #backoff: Backoff;
+
+	/** @param random - Returns numbers from zero up to one. */
+	constructor(private readonly table: CoordinationTable, private readonly view: ConfigurationView, random: () => number, private readonly log: DecisionLog) {
+		this.#backoff = new Backoff(failurePauseMs, longestPauseMs, random);
+	}
 
 	/** The configuration in force as other VMs are sent it. */
 	get encoded(): string | undefined {
@@ -63,6 +70,7 @@
 			await this.#waitForTurn();
 			const result = await this.#read();
 			if (result.kind === 'ok') {
+				this.#backoff.reset();
 				this.#observeStore(true, '');
 				this.#storeVersion = result.value.storeVersion;
 				if (result.value.configuration !== undefined) {
@@ -72,7 +80,7 @@
 				// What the store's history no longer holds is read in full.
 				this.#storeVersion = undefined;
 				this.#observeStore(result.failure.reason === 'history-gone', `${result.failure.reason}: ${result.failure.message}`);
-				await pause(failurePauseMs);
+				await pause(this.#backoff.takePauseMs());
 			}
 		}
 	}
--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -37,6 +37,9 @@
 /** Interval at which the store is asked while no coordinator answers, milliseconds. */
 const storePollMs = 400;
 
+/** Interval at which it is asked while it does not answer, milliseconds: as long as a call may take. */
+const storeAwayPollMs = 800;
+
 /** Time by which the VM of least capacity waits longer to coordinate, milliseconds. */
 const weakestWaitMs = 1000;
 
@@ -98,6 +101,8 @@
 	#linkAddress = '';
 	/** Address of the coordinator as another VM told it. */
 	#hint: string | undefined;
+	/** Time at which such an address was last followed at once. */
+	#hintedAt = Number.NEGATIVE_INFINITY;
 	#linkOpenedAt = Number.NEGATIVE_INFINITY;
 	#coordinator: DutyRow | undefined;
 	#registeredVersion = 0;
@@ -106,6 +111,8 @@
 	#answeredAt = Number.NEGATIVE_INFINITY;
 	#polledAt = Number.NEGATIVE_INFINITY;
 	#isPolling = false;
+	/** Pause until the store is asked again. */
+	#pollPauseMs = storePollMs;
 	#checkedMembersAt = 0;
 	#isUrgent = false;
 	#isPushDue = false;
@@ -212,7 +219,7 @@
 			this.parts.keeper.setFollowing(true);
 		}
 
-		if (now - this.#answeredAt > coordinatorSilentMs && now - this.#polledAt > storePollMs && !this.#isPolling) {
+		if (isAlone && now - this.#polledAt > this.#pollPauseMs && !this.#isPolling) {
 			void this.#pollStore();
 		}
 	}
@@ -421,8 +428,9 @@
 			case 'not-coordinator': {
 				this.#answeredAt = Number.NEGATIVE_INFINITY;
 				this.#hint = message.coordinator === this.#linkAddress ? undefined : message.coordinator;
-				this.#polledAt = Math.min(this.#polledAt, this.parts.clock.now() - storePollMs + hastyHeartbeatMs);
-				this.#isUrgent = true;
+				// VMs that name each other are not asked in turns without a pause.
+				this.#isUrgent = this.#hint !== undefined && this.parts.clock.now() - this.#hintedAt > heartbeatMs;
+				this.#hintedAt = this.#isUrgent ? this.parts.clock.now() : this.#hintedAt;
 				return;
 			}
 
@@ -530,6 +538,7 @@
 
 			const at = this.parts.terms.getMoment();
 			const result = await this.parts.table.readSharedRows(callTimeoutMs);
+			this.#pollPauseMs = result.kind === 'ok' ? storePollMs : storeAwayPollMs;
 			if (result.kind === 'ok') {
 				await this.#applyState(parseSharedRows(result.value, this.parts.log), at);
 			} else {
--- a/packages/gateway/src/instances/instance-keeper.ts
+++ b/packages/gateway/src/instances/instance-keeper.ts
@@ -1,3 +1,4 @@
+import {Backoff} from '@chicorysaddle/decisions';
 import {type DecisionLog} from '../observability/index.js';
 import {type Clock, type CoordinationTable} from '../ports/index.js';
 import {type Instance} from './instance.js';
@@ -6,8 +7,9 @@
 /** Interval at which the list is read, milliseconds: well inside the time in which a draining instance may still be used. */
 const readIntervalMs = 1000;
 
-/** Pause after a call that failed, milliseconds. */
+/** Pause after a call that failed, and the longest after several, milliseconds. */
 const failurePauseMs = 300;
+const longestPauseMs = readIntervalMs;
 
 /** Time for a call, milliseconds. */
 const callTimeoutMs = 1000;
@@ -23,14 +25,25 @@
 	#isReading = true;
 	#wake: (() => void) | undefined;
 
-	constructor(private readonly table: CoordinationTable, private readonly registry: InstanceRegistry, private readonly clock: Clock, private readonly log: DecisionLog) {}
+	readonly #backoff: Backoff;
+
+	/** @param random - Returns numbers from zero up to one. */
+	constructor(
+		private readonly table: CoordinationTable,
+		private readonly registry: InstanceRegistry,
+		private readonly clock: Clock,
+		random: () => number,
+		private readonly log: DecisionLog,
+	) {
+		this.#backoff = new Backoff(failurePauseMs, longestPauseMs, random);
+	}
 
 	/** Reads the list until it is stopped. */
 	async run(): Promise<void> {
 		while (!this.#isStopped) {
 			const isRead = this.#isReading ? await this.#read() : true;
 			await new Promise<void>(resolve => {
-				const timer = setTimeout(resolve, isRead ? readIntervalMs : failurePauseMs);
+				const timer = setTimeout(resolve, isRead ? readIntervalMs : this.#backoff.takePauseMs());
 				this.#wake = () => {
 					clearTimeout(timer);
 					resolve();
@@ -70,6 +83,7 @@
 			this.#outageEndedAt = now;
 		}
 
+		this.#backoff.reset();
 		this.#observeStore(true, '');
 		this.registry.applyList(now < this.#outageEndedAt + lapseGraceMs ? this.#addLapsed(result.value) : result.value, now);
 		return true;
--- a/packages/gateway/src/tests/coordination/failover.test.ts
+++ b/packages/gateway/src/tests/coordination/failover.test.ts
@@ -323,3 +323,29 @@
 	t.true(describeAnswer(await caller.ask(write)).startsWith('signed'));
 	cluster.stop();
 });
+
+test.serial('VMs without a coordinator and a store ask both at a bounded pace', async t => {
+	const vms = Array.from({length: 12}, (_, index) => `vm${index + 1}`);
+	const cluster = new TestCluster(vms);
+	await cluster.start();
+	const coordinator = cluster.getCoordinator();
+	cluster.getGateway(coordinator).gateway.stop();
+	cluster.network.cut.add(coordinator);
+	cluster.store.trouble = 'busy';
+	await cluster.time.advance(1500);
+	const names = ['read_shared', 'read_instances', 'read_configuration', 'poll_configuration', 'write_shared'];
+	const count = (vm: string) => names.map(name => cluster.getGateway(vm).metrics.getCount(`store_call_${name}`)).reduce((sum, one) => sum + one, 0);
+	const others = vms.filter(vm => vm !== coordinator);
+	const before = new Map(others.map(vm => [vm, count(vm)]));
+	const sentBefore = cluster.network.sent;
+	await cluster.time.advance(4000);
+	for (const vm of others) {
+		// Shared rows every 800 ms, instances and configuration once a second in the long run.
+		t.true(count(vm) - before.get(vm)! <= 20, `${vm}: ${count(vm) - before.get(vm)!} calls in 4 s`);
+	}
+
+	// A heartbeat every 400 ms, and its answer.
+	const sent = (cluster.network.sent - sentBefore) / others.length / 4;
+	t.true(sent <= 7, `${sent} messages a second a VM`);
+	cluster.stop();
+});
--- a/packages/gateway/src/tests/fakes/fake-network.ts
+++ b/packages/gateway/src/tests/fakes/fake-network.ts
@@ -10,6 +10,8 @@
 	readonly listeners = new Map<string, (link: PeerLink) => PeerHandlers>();
 	/** VMs that cannot send to or receive from any other. */
 	readonly cut = new Set<string>();
+	/** Messages sent by all VMs. */
+	sent = 0;
 }
 
 /** One end of a link. */
@@ -22,6 +24,7 @@
 
 	send(message: PeerMessage): void {
 		const text = formatPeerMessage(message);
+		this.network.sent += 1;
 		setTimeout(() => {
 			if (this.isOpen && this.other?.isOpen === true && !this.network.cut.has(this.from) && !this.network.cut.has(this.to)) {
 				this.other.handlers?.onMessage(parsePeerMessage(text.trimEnd()));
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -6,7 +6,9 @@
 import {InstanceKeeper, InstanceRegistry} from '../instances/index.js';
 import {Gateway} from '../lifecycle/index.js';
 import {AccountLimiter} from '../limits/index.js';
-import {DecisionLog, GatewayMetrics, type LogOutput} from '../observability/index.js';
+import {
+	countTableCalls, DecisionLog, GatewayMetrics, type LogOutput,
+} from '../observability/index.js';
 import {
 	type AdjustableSettingsSource, type Clock, type CoordinationTable, type InstanceConnector, type PeerNetwork, type PromotionService,
 } from '../ports/index.js';
@@ -35,14 +37,15 @@
 
 /** Wires the parts of a gateway; it is the only place that does. */
 export function createGateway(identity: GatewayIdentity, {
-	clock, table, connector, promotion, network, getSettings, logOutput,
+	clock, table: storeTable, connector, promotion, network, getSettings, logOutput,
 }: GatewayPorts): WiredGateway {
 	const log = new DecisionLog(identity.vm, logOutput);
 	const metrics = new GatewayMetrics();
+	const table = countTableCalls(storeTable, metrics);
 	const configuration = new ConfigurationView();
-	const configurationKeeper = new ConfigurationKeeper(table, configuration, log);
+	const configurationKeeper = new ConfigurationKeeper(table, configuration, Math.random, log);
 	const instances = new InstanceRegistry(log);
-	const instanceKeeper = new InstanceKeeper(table, instances, clock, log);
+	const instanceKeeper = new InstanceKeeper(table, instances, clock, Math.random, log);
 	const terms = new TermRegistry(clock, log, metrics);
 	const dispatcher = new Dispatcher({
 		configuration, instances, terms, connector, clock, metrics, log, zone: identity.zone, random: Math.random, getSettings,
