--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -124,9 +124,12 @@
 		return this.#pools.get(instanceId)?.tracker;
 	}
 
-	/** Describes connections and their use by instance, for the log. */
-	describePools(): string {
-		return [...this.#pools.values()].map(pool => `${pool.instance.id}:${pool.busyCount}/${pool.connectionCount}`).join(' ');
+	/**
+	 * Describes connections and their use by instance, and how an instance lately had no room, for the log.
+	 * @param group - Group to describe, all where it is absent.
+	 */
+	describePools(group?: string): string {
+		return [...this.#pools.values()].filter(({instance}) => group === undefined || instance.group === group).map(pool => pool.describe(this.parts.clock.now())).join(' ');
 	}
 
 	countWaiting(): number {
--- a/packages/gateway/src/dispatch/instance-pool.ts
+++ b/packages/gateway/src/dispatch/instance-pool.ts
@@ -40,6 +40,12 @@
 		return count;
 	}
 
+	/** Describes busy and open connections, and why the instance had no room lately. */
+	describe(now: number): string {
+		const shortage = this.tracker.getShortage(now);
+		return `${this.instance.id}:${this.busyCount}/${this.connectionCount}${shortage === undefined ? '' : `:${shortage}`}`;
+	}
+
 	/** Whether a connection is being opened. */
 	get isOpening(): boolean {
 		return this.#opening > 0;
@@ -187,7 +193,7 @@
 		this.parts.metrics.addCount(`connect_failed_${failure.reason}`);
 		if (failure.reason === 'connection-limit' || failure.reason === 'busy') {
 			this.tracker.observeAnswer(now);
-			this.tracker.observeFull(now);
+			this.tracker.observeFull(failure.reason, now);
 		} else {
 			this.tracker.observeFailure(failure.reason === 'silent' ? 'silent' : 'refused', startedAt, now);
 		}
--- a/packages/gateway/src/dispatch/instance-tracker.ts
+++ b/packages/gateway/src/dispatch/instance-tracker.ts
@@ -28,6 +28,9 @@
 /** Longest such pause, milliseconds: all VMs together then ask no more often than an instance of a few slots serves. */
 const longestPauseMs = 480;
 
+/** Time for which a want of room is told in the log, milliseconds: longer than the longest pause. */
+const shortageMs = 1000;
+
 /** What this VM has learnt of one instance. */
 export class InstanceTracker {
 	#latencyMs = initialLatencyMs;
@@ -42,6 +45,7 @@
 	#heldUntil = 0;
 	#fullCount = 0;
 	#inFlight = 0;
+	#shortage: {readonly reason: 'busy' | 'connection-limit'; readonly at: number} | undefined;
 
 	/** @param random - Returns numbers from zero up to one. */
 	constructor(readonly instance: Instance, private readonly log: DecisionLog, private readonly random: () => number) {}
@@ -80,7 +84,7 @@
 			this.#laggingShare *= 1 - averageWeight;
 			this.#fullCount = Math.max(0, this.#fullCount - 1);
 		} else if (outcome.error === 'busy') {
-			this.observeFull(now);
+			this.observeFull('busy', now);
 		} else if (outcome.error === 'not-primary') {
 			this.#heldUntil = Math.max(this.#heldUntil, now + notPrimaryHoldMs);
 		}
@@ -114,12 +118,18 @@
 	}
 
 	/** Takes in that the instance had no room: pauses double while that goes on, and differ between VMs. */
-	observeFull(now: number): void {
+	observeFull(reason: 'busy' | 'connection-limit', now: number): void {
+		this.#shortage = {reason, at: now};
 		const pauseMs = Math.min(longestPauseMs, shortestPauseMs * (2 ** this.#fullCount));
 		this.#fullCount = Math.min(this.#fullCount + 1, 8);
 		this.#heldUntil = Math.max(this.#heldUntil, now + (pauseMs * (0.5 + this.random())));
 	}
 
+	/** Returns why the instance lately had no room. */
+	getShortage(now: number): 'busy' | 'connection-limit' | undefined {
+		return this.#shortage !== undefined && now - this.#shortage.at < shortageMs ? this.#shortage.reason : undefined;
+	}
+
 	/** Takes in that a statement was sent, or its outcome came. */
 	observeInFlight(change: 1 | -1): void {
 		this.#inFlight += change;
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -368,6 +368,10 @@
 		return chooseAccountName(operation.route, this.#getAccount()) === operation.account ? undefined : refusals.unknownKey();
 	}
 
+	#getGroup(): string | undefined {
+		return this.services.configuration.getRoute(this.identity.database)?.group;
+	}
+
 	#getAccount(): ClientAccount | undefined {
 		return this.services.configuration.getAccountByKey(this.identity.keyDigest);
 	}
@@ -416,9 +420,10 @@
 	#refuse(request: StatementRequest, refusal: Refusal, isFinal = false): void {
 		this.services.metrics.addCount(`refused_${refusal.kind}`);
 		this.services.log.logEvent('statement.refused', {
-			connection: this.identity.connectionId, request: request.id, database: this.identity.database, group: this.services.configuration.getRoute(this.identity.database)?.group,
+			connection: this.identity.connectionId, request: request.id, database: this.identity.database, group: this.#getGroup(),
 			statement: request.statement.kind, kind: refusal.kind, why: refusal.message,
-			ran: refusal.answer.ran, retryAfterMs: refusal.retryAfterMs, state: this.#state, configuration: this.services.configuration.version,
+			ran: refusal.answer.ran, retryAfterMs: refusal.retryAfterMs, state: this.#state,
+			places: refusal.kind === 'overloaded' ? this.services.dispatcher.describePools(this.#getGroup()) : undefined, configuration: this.services.configuration.version,
 		});
 		if (!this.#isClosed) {
 			this.caller.sendAnswer({result: {kind: 'refused', refusal}, state: this.#state, position: undefined});
--- a/packages/gateway/src/tests/observability/decision-log.test.ts
+++ b/packages/gateway/src/tests/observability/decision-log.test.ts
@@ -35,7 +35,7 @@
 	for (let index = 0; index < 150; index++) {
 		log.logEvent('statement.completed', {connection: 'c1', request: `${index}`, statement: 'read'});
 		log.logEvent('statement.refused', {
-			connection: 'c1', request: `${index}`, database: 'd', group: 'g', statement: 'read', kind: 'overloaded', why: 'no place', ran: 'no', retryAfterMs: 200, state: 'idle', configuration: 1,
+			connection: 'c1', request: `${index}`, database: 'd', group: 'g', statement: 'read', kind: 'overloaded', why: 'no place', ran: 'no', retryAfterMs: 200, state: 'idle', places: undefined, configuration: 1,
 		});
 		log.logEvent('instance.lost', {
 			instance: 'db-1', group: 'g', how: 'silent', answeredAgoMs: index,
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -137,7 +137,7 @@
 		importance: 'refusal', scope: 'request', isCause: false, says: 'a statement was refused, with the kind and whether it ran',
 		fields: {
 			connection: 'string', request: 'string', database: 'string', group: 'string?', statement: 'string', kind: 'string', why: 'string',
-			ran: 'string', retryAfterMs: 'number?', state: 'string', configuration: 'number',
+			ran: 'string', retryAfterMs: 'number?', state: 'string', places: 'string?', configuration: 'number',
 		},
 	},
 	'statement.retried': {
@@ -165,7 +165,7 @@
 		importance: 'state', scope: 'vm', isCause: true, says: 'lines that were left out', fields: {lines: 'number'},
 	},
 	summary: {
-		importance: 'state', scope: 'vm', isCause: false, says: 'every 2 s: what each counter gained, and connections by instance as busy/open',
+		importance: 'state', scope: 'vm', isCause: true, says: 'every 2 s: what each counter gained, and connections by instance as busy/open',
 		fields: {
 			sessions: 'number', waiting: 'number', connections: 'string', gains: 'counts',
 		},
