Limits: a VM that knows no other VMs yet counts nobody as over a limit

Change: until the store has told of VMs and terms, statements pass the limiter and wait for a place (nothing can run), and are counted.

--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -199,7 +199,17 @@
 			this.log.logEvent('limits.local', {members: this.#members ?? 0});
 		}
 
-		state.unheardMost ??= this.#chooseUnheardMost(account, state, now);
+		if (this.#members === undefined) {
+			// Nothing runs before the store has told of terms and VMs: what waits for that is not over its limit.
+			for (const settle of waiters) {
+				state.used.add(1, now);
+				settle(0);
+			}
+
+			return;
+		}
+
+		state.unheardMost ??= this.#chooseUnheardMost(account, this.#members, state, now);
 		for (const settle of waiters) {
 			if (state.used.getCount(now) + 1 <= state.unheardMost) {
 				state.used.add(1, now);
@@ -211,10 +221,10 @@
 	}
 
 	/** Returns what this VM may use of an account's limit in a window without asking: its even share, or what it used of late with the overage. */
-	#chooseUnheardMost(account: string, state: AccountState, now: number): number {
+	#chooseUnheardMost(account: string, members: number, state: AccountState, now: number): number {
 		const {limitWindowMs} = this.getSettings();
 		const limit = this.configuration.getAccount(account);
-		const even = limit === undefined || this.#members === undefined ? 0 : countAllowed(limit, limitWindowMs) / this.#members;
+		const even = limit === undefined ? 0 : countAllowed(limit, limitWindowMs) / members;
 		const knownPart = Math.min(1, youngPart + ((1 - youngPart) * ((now - this.#startedAt) / limitWindowMs)));
 		return Math.max(1, even * knownPart, state.used.getCount(now) * unheardFactor);
 	}
