Dispatch: what will not get a place in time is refused on arrival

Change: WaitEstimator takes the pace of each queue; a request whose place would come after its deadline is told at once when the queue will have moved, with a spread. A VM that has held no lease for 0.4 s refuses what needs a primary at once, to come back in about 0.8 s.

--- a/packages/decisions/src/queueing/index.ts
+++ b/packages/decisions/src/queueing/index.ts
@@ -1,1 +1,2 @@
 export * from './fair-queue.js';
+export * from './wait-estimator.js';
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -1,4 +1,6 @@
-import {FairQueue, type Priority, type QueueEntry} from '@chicorysaddle/decisions';
+import {
+	FairQueue, type Priority, type QueueEntry, WaitEstimator,
+} from '@chicorysaddle/decisions';
 import {type Refusal, refusals} from '@chicorysaddle/model';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Instance, type InstanceRegistry} from '../instances/index.js';
@@ -62,6 +64,12 @@
 /** Time that is told to a caller whom another VM can serve, milliseconds. */
 const cutOffRetryMs = 20;
 
+/** Time without a term lease for which statements wait for one, milliseconds: several times what a started process takes for it. */
+const unheldMs = 400;
+
+/** Time that is told to a caller, on average, of a VM without a term lease, milliseconds: the interval at which a store that is away is asked. */
+const unheldRetryMs = 800;
+
 /** Time that is told to a caller for whom there was no place, milliseconds. */
 const retryAfterMs = 200;
 
@@ -91,6 +99,8 @@
 	readonly #pools = new Map<string, InstancePool>();
 	readonly #queues = new Map<string, FairQueue<Waiter>>();
 	readonly #waiting = new Map<string, Set<Waiter>>();
+	/** Pace of the queues by group and target. */
+	readonly #estimators = new Map<string, WaitEstimator>();
 	/** Groups that are looked through now, with whether to look again. */
 	readonly #pumping = new Map<string, boolean>();
 	#members = 1;
@@ -152,13 +162,15 @@
 					resolve(result);
 				},
 			};
-			if (this.#isCutOff(request)) {
-				waiter.settle({kind: 'refused', refusal: refusals.noPrimaryYet(request.group, cutOffRetryMs)});
+			const refusal = this.#checkPrimary(request);
+			if (refusal !== undefined) {
+				waiter.settle({kind: 'refused', refusal});
 				return;
 			}
 
 			this.#enqueue(waiter);
 			this.#pump(request.group);
+			this.#refuseIfHopeless(waiter);
 		});
 	}
 
@@ -180,6 +192,15 @@
 		place.pool.release(place.connection, isClean);
 	}
 
+	/** Refuses what needs a primary that this VM will not be able to use for a while. */
+	#checkPrimary(request: PlaceRequest): Refusal | undefined {
+		if (request.target === 'primary' && this.parts.terms.getUnheldMs() > unheldMs) {
+			return refusals.noPrimaryYet(request.group, unheldRetryMs * (0.5 + this.parts.random()));
+		}
+
+		return this.#isCutOff(request) ? refusals.noPrimaryYet(request.group, cutOffRetryMs) : undefined;
+	}
+
 	/** Says whether this VM cannot reach a primary that others do reach: their callers' statements are served, ours are not. */
 	#isCutOff(request: PlaceRequest): boolean {
 		const primaryId = request.target === 'primary' ? this.parts.terms.getUsablePrimary(request.group) : undefined;
@@ -192,6 +213,37 @@
 		return this.parts.clock.now() - newest.ageMs > tracker.failingSince + cutOffMs;
 	}
 
+	/** Refuses a request that would not get a place in time, as the queue moves now. */
+	#refuseIfHopeless(waiter: Waiter): void {
+		const {request} = waiter;
+		const waiting = this.#waiting.get(request.group);
+		const isPrimaryMissing = request.target === 'primary' && this.parts.terms.getUsablePrimary(request.group) === undefined;
+		if (waiting?.has(waiter) !== true || isPrimaryMissing) {
+			return;
+		}
+
+		const rivals = [...waiting].filter(other => other !== waiter && other.request.target === request.target && other.request.priority <= request.priority);
+		const own = rivals.filter(other => other.request.account === request.account).length;
+		const accounts = new Set([request.account, ...rivals.map(other => other.request.account)]).size;
+		const waitMs = this.#getEstimator(request).estimateMs(Math.min(rivals.length, own * accounts));
+		if (waitMs > request.deadline - this.parts.clock.now()) {
+			this.#queues.get(request.group)!.removeEntry(waiter);
+			this.parts.metrics.addCount('place_hopeless');
+			waiter.settle({kind: 'refused', refusal: refusals.overloaded(request.group, waitMs * (0.5 + this.parts.random()))});
+		}
+	}
+
+	#getEstimator({group, target}: PlaceRequest): WaitEstimator {
+		const name = `${target} ${group}`;
+		let estimator = this.#estimators.get(name);
+		if (estimator === undefined) {
+			estimator = new WaitEstimator();
+			this.#estimators.set(name, estimator);
+		}
+
+		return estimator;
+	}
+
 	#enqueue(waiter: Waiter): void {
 		const {request} = waiter;
 		let queue = this.#queues.get(request.group);
@@ -253,6 +305,7 @@
 
 			const {pool, idle, isPrimary} = candidate;
 			pool.take(idle);
+			this.#observePlaced(entry.value.request);
 			entry.value.settle({kind: 'placed', place: {pool, connection: idle, isPrimary}});
 		}
 
@@ -265,6 +318,15 @@
 		}
 	}
 
+	#observePlaced(request: PlaceRequest): void {
+		let left = -1;
+		for (const other of this.#waiting.get(request.group)!) {
+			left += other.request.target === request.target ? 1 : 0;
+		}
+
+		this.#getEstimator(request).observePlaced(left, this.parts.clock.now());
+	}
+
 	#startOpening(waiter: Waiter, pool: InstancePool): void {
 		if (!waiter.isOpening) {
 			waiter.isOpening = true;
@@ -349,9 +411,10 @@
 			}
 
 			for (const waiter of this.#waiting.get(group) ?? []) {
-				if (this.#isCutOff(waiter.request)) {
+				const refusal = this.#checkPrimary(waiter.request);
+				if (refusal !== undefined) {
 					queue.removeEntry(waiter);
-					waiter.settle({kind: 'refused', refusal: refusals.noPrimaryYet(group, cutOffRetryMs)});
+					waiter.settle({kind: 'refused', refusal});
 				}
 			}
 
--- a/packages/gateway/src/terms/term-registry.ts
+++ b/packages/gateway/src/terms/term-registry.ts
@@ -40,7 +40,11 @@
 	#wasHeld = false;
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 
-	constructor(private readonly clock: Clock, private readonly log: DecisionLog, private readonly metrics: GatewayMetrics) {}
+	readonly #startedAt: number;
+
+	constructor(private readonly clock: Clock, private readonly log: DecisionLog, private readonly metrics: GatewayMetrics) {
+		this.#startedAt = clock.now();
+	}
 
 	onChanged(listener: (term: GroupTerm) => void): void {
 		this.#listeners.push(listener);
@@ -82,6 +86,11 @@
 		this.#wasHeld = isHeld;
 	}
 
+	/** Returns for how long the lease has not been held, milliseconds; from the start of the process where it never was. */
+	getUnheldMs(): number {
+		return this.isLeaseHeld() ? 0 : Math.max(0, this.clock.now() - Math.max(this.#startedAt, this.#confirmedAt + termLeaseMs));
+	}
+
 	getLeaseRemainingMs(): number {
 		return this.#lease.getRemainingMs(this.getMoment());
 	}
--- a/packages/gateway/src/tests/coordination/failover.test.ts
+++ b/packages/gateway/src/tests/coordination/failover.test.ts
@@ -349,3 +349,18 @@
 	t.true(sent <= 7, `${sent} messages a second a VM`);
 	cluster.stop();
 });
+
+test.serial('a VM that the store has not told of any term refuses at once, with a time to come back', async t => {
+	const cluster = new TestCluster(['vm1']);
+	await cluster.start();
+	cluster.getGateway('vm1').gateway.stop();
+	const caller = cluster.openSession('vm1', 'strict');
+	cluster.store.troubles.set('vm1', 'silent');
+	await cluster.time.advance(2500);
+	const startedAt = cluster.time.now();
+	const answer = await caller.ask(write);
+	t.is(describeAnswer(answer), 'no-primary');
+	t.true(cluster.time.now() - startedAt < 50, `${cluster.time.now() - startedAt} ms`);
+	t.true(answer.result.kind === 'refused' && answer.result.refusal.retryAfterMs >= 400);
+	cluster.stop();
+});
