Dispatch: an instance that answers nobody for 0.3 s is doubted

Change: each question to an instance is kept until its outcome; when nothing was answered since the oldest for 0.3 s, reads go elsewhere, waiting ones leave their opening, and the evidence on a primary says so (it still takes 0.9 s and two VMs, and a last question, to replace it). Test: 'an instance is doubted when nothing was answered since a question'.

--- a/packages/gateway/src/coordination/heartbeat-writer.ts
+++ b/packages/gateway/src/coordination/heartbeat-writer.ts
@@ -75,7 +75,7 @@
 	#createEvidence(now: number): Heartbeat['evidence'] {
 		const evidence: Heartbeat['evidence'] = {};
 		for (const {group, primaryId} of this.parts.terms.getTerms()) {
-			const seen = this.parts.dispatcher.getTracker(primaryId)?.createEvidence(this.parts.identity.vm);
+			const seen = this.parts.dispatcher.getTracker(primaryId)?.createEvidence(this.parts.identity.vm, now);
 			if (seen !== undefined) {
 				evidence[group] = {
 					instanceId: seen.instanceId,
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -131,7 +131,7 @@
 			return 'draining';
 		}
 
-		const own = this.parts.dispatcher.getTracker(term.primaryId)?.createEvidence(this.parts.vm);
+		const own = this.parts.dispatcher.getTracker(term.primaryId)?.createEvidence(this.parts.vm, this.parts.clock.now());
 		const evidence = [...(own === undefined ? [] : [own]), ...this.parts.coordinator.getEvidence(term.group)];
 		return isPrimaryDead(term.primaryId, evidence, this.parts.coordinator.countHeard(), this.parts.clock.now()) ? 'crashed' : undefined;
 	}
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -16,8 +16,8 @@
 	readonly request: PlaceRequest;
 	readonly excluded: Set<string>;
 	readonly queuedAt: number;
-	/** Whether a connection is being opened on its behalf; any other that is free first serves it as well. */
-	isOpening: boolean;
+	/** Where a connection is being opened on its behalf; any other that is free first serves it as well. */
+	openingAt: InstancePool | undefined;
 	readonly settle: (result: PlaceResult) => void;
 };
 
@@ -156,7 +156,7 @@
 		return new Promise(resolve => {
 			const queuedAt = this.parts.clock.now();
 			const waiter: Waiter = {
-				request, excluded: new Set(request.excluded), queuedAt, isOpening: false, settle: result => {
+				request, excluded: new Set(request.excluded), queuedAt, openingAt: undefined, settle: result => {
 					this.#waiting.get(request.group)?.delete(waiter);
 					this.parts.metrics.recordDuration('place', this.parts.clock.now() - queuedAt);
 					resolve(result);
@@ -318,6 +318,14 @@
 		}
 	}
 
+	/** Lets a read look elsewhere when the instance that it waits for a connection to answers nothing. */
+	#leaveSilent(waiter: Waiter, now: number): void {
+		if (waiter.request.target === 'any' && waiter.openingAt?.tracker.getSilentSince(now) !== undefined) {
+			waiter.excluded.add(waiter.openingAt.instance.id);
+			waiter.openingAt = undefined;
+		}
+	}
+
 	#observePlaced(request: PlaceRequest): void {
 		let left = -1;
 		for (const other of this.#waiting.get(request.group)!) {
@@ -328,15 +336,15 @@
 	}
 
 	#startOpening(waiter: Waiter, pool: InstancePool): void {
-		if (!waiter.isOpening) {
-			waiter.isOpening = true;
+		if (waiter.openingAt === undefined) {
+			waiter.openingAt = pool;
 			void this.#open(waiter, pool);
 		}
 	}
 
 	async #open(waiter: Waiter, pool: InstancePool): Promise<void> {
 		const failure = await pool.open(waiter.request.account, this.#getLimit(pool.instance));
-		waiter.isOpening = false;
+		waiter.openingAt = waiter.openingAt === pool ? undefined : waiter.openingAt;
 		if (failure !== undefined && waiter.request.target === 'any' && failure.reason !== 'connection-limit' && failure.reason !== 'busy') {
 			waiter.excluded.add(pool.instance.id);
 		}
@@ -375,13 +383,13 @@
 		return best;
 	}
 
-	#findWay(pool: InstancePool, {request, isOpening}: Waiter, mayEvict: boolean, isPrimary: boolean): Candidate | undefined {
+	#findWay(pool: InstancePool, {request, openingAt}: Waiter, mayEvict: boolean, isPrimary: boolean): Candidate | undefined {
 		if (pool.tracker.isSaturated()) {
 			return undefined;
 		}
 
 		const idle = pool.findIdle(request.account);
-		const isPossible = idle !== undefined || (!isOpening && pool.canOpen(this.#getLimit(pool.instance), mayEvict));
+		const isPossible = idle !== undefined || (openingAt === undefined && pool.canOpen(this.#getLimit(pool.instance), mayEvict));
 		return isPossible ? {pool, idle, isPrimary} : undefined;
 	}
 
@@ -392,7 +400,7 @@
 	}
 
 	#isReadable(instance: Instance, pool: InstancePool, request: PlaceRequest, now: number): boolean {
-		if (instance.state === 'draining' || !pool.tracker.isUsable(now)) {
+		if (instance.state === 'draining' || !pool.tracker.isUsable(now) || pool.tracker.getSilentSince(now) !== undefined) {
 			return false;
 		}
 
@@ -411,6 +419,7 @@
 			}
 
 			for (const waiter of this.#waiting.get(group) ?? []) {
+				this.#leaveSilent(waiter, now);
 				const refusal = this.#checkPrimary(waiter.request);
 				if (refusal !== undefined) {
 					queue.removeEntry(waiter);
--- a/packages/gateway/src/dispatch/instance-pool.ts
+++ b/packages/gateway/src/dispatch/instance-pool.ts
@@ -94,7 +94,9 @@
 
 		this.#opening += 1;
 		const startedAt = this.parts.clock.now();
+		const question = this.tracker.beginQuestion('connection', startedAt);
 		const result = await this.parts.connector.open(this.instance, account, connectTimeoutMs);
+		this.tracker.endQuestion(question);
 		this.#opening -= 1;
 		const now = this.parts.clock.now();
 		if (result.kind === 'failed') {
--- a/packages/gateway/src/dispatch/instance-tracker.ts
+++ b/packages/gateway/src/dispatch/instance-tracker.ts
@@ -31,6 +31,16 @@
 /** Time for which a want of room is told in the log, milliseconds: longer than the longest pause. */
 const shortageMs = 1000;
 
+/** Time without any answer after which an instance is doubted, milliseconds: longer than a full queue before it takes. */
+export const silentMs = 300;
+
+/** Something that an instance was asked. */
+export type Question = {
+	readonly kind: 'statement' | 'connection';
+	/** Steady time in milliseconds. */
+	readonly at: number;
+};
+
 /** What this VM has learnt of one instance. */
 export class InstanceTracker {
 	#latencyMs = initialLatencyMs;
@@ -44,7 +54,8 @@
 	#isRefused = false;
 	#heldUntil = 0;
 	#fullCount = 0;
-	#inFlight = 0;
+	/** Questions without an answer yet, the oldest first. */
+	readonly #questions = new Set<Question>();
 	#shortage: {readonly reason: 'busy' | 'connection-limit'; readonly at: number} | undefined;
 
 	/** @param random - Returns numbers from zero up to one. */
@@ -130,14 +141,31 @@
 		return this.#shortage !== undefined && now - this.#shortage.at < shortageMs ? this.#shortage.reason : undefined;
 	}
 
-	/** Takes in that a statement was sent, or its outcome came. */
-	observeInFlight(change: 1 | -1): void {
-		this.#inFlight += change;
+	/** Takes in that the instance is asked something; the question is to be ended when there is an outcome. */
+	beginQuestion(kind: Question['kind'], now: number): Question {
+		const question = {kind, at: now};
+		this.#questions.add(question);
+		return question;
+	}
+
+	endQuestion(question: Question): void {
+		this.#questions.delete(question);
+	}
+
+	/** Returns since when the instance has left this VM without any answer, steady milliseconds; undefined while it answers. */
+	getSilentSince(now: number): number | undefined {
+		for (const {at} of this.#questions) {
+			if (this.#answeredAt === undefined || at >= this.#answeredAt) {
+				return now - at >= silentMs ? at : undefined;
+			}
+		}
+
+		return undefined;
 	}
 
 	/** Says whether the instance had no room lately, and has a statement of this VM to answer first. */
 	isSaturated(): boolean {
-		return this.#fullCount > 1 && this.#inFlight > 0;
+		return this.#fullCount > 1 && [...this.#questions].some(({kind}) => kind === 'statement');
 	}
 
 	/** Says whether the instance may be tried now. */
@@ -166,9 +194,9 @@
 		return (latency * (1 + (inFlight / Math.max(1, this.instance.slots)))) + (this.#laggingShare * 2 * latency);
 	}
 
-	createEvidence(vm: string): PrimaryEvidence {
+	createEvidence(vm: string, now: number): PrimaryEvidence {
 		return {
-			vm, instanceId: this.instance.id, answeredAt: this.#answeredAt, failingSince: this.#failingSince, isRefused: this.#isRefused,
+			vm, instanceId: this.instance.id, answeredAt: this.#answeredAt, failingSince: this.#failingSince ?? this.getSilentSince(now), isRefused: this.#isRefused,
 		};
 	}
 }
--- a/packages/gateway/src/sessions/statement-runner.ts
+++ b/packages/gateway/src/sessions/statement-runner.ts
@@ -63,9 +63,9 @@
 			terms.beginWrite(operation.route.group);
 		}
 
-		pool.tracker.observeInFlight(1);
+		const question = pool.tracker.beginQuestion('statement', sentAt);
 		const [outcome] = await connection.connection.run([this.#name(place, outgoing, prepared)], Math.max(1, deadline - sentAt));
-		pool.tracker.observeInFlight(-1);
+		pool.tracker.endQuestion(question);
 		if (isChanging) {
 			// After the continuation that passes the outcome on.
 			setImmediate(() => {
--- a/packages/gateway/src/tests/dispatch/instance-tracker.test.ts
+++ b/packages/gateway/src/tests/dispatch/instance-tracker.test.ts
@@ -59,12 +59,12 @@
 
 test('while an instance has no room one statement at a time is sent to it', t => {
 	const tracker = createTracker();
-	tracker.observeInFlight(1);
+	const question = tracker.beginQuestion('statement', 0);
 	t.false(tracker.isSaturated());
 	tracker.observeOutcome(busy, 0, 0);
 	tracker.observeOutcome(busy, 0, 0);
 	t.true(tracker.isSaturated());
-	tracker.observeInFlight(-1);
+	tracker.endQuestion(question);
 	t.false(tracker.isSaturated());
 });
 
@@ -78,3 +78,18 @@
 	tracker.observeAnswer(1000);
 	t.is(tracker.failingSince, undefined);
 });
+
+test('an instance is doubted when nothing was answered since a question, and not while it answers others', t => {
+	const tracker = createTracker();
+	const question = tracker.beginQuestion('connection', 100);
+	t.is(tracker.getSilentSince(399), undefined);
+	t.is(tracker.getSilentSince(400), 100);
+	t.is(tracker.createEvidence('vm1', 400).failingSince, 100);
+	tracker.observeAnswer(410);
+	t.is(tracker.getSilentSince(900), undefined);
+	const later = tracker.beginQuestion('statement', 500);
+	t.is(tracker.getSilentSince(850), 500);
+	tracker.endQuestion(later);
+	tracker.endQuestion(question);
+	t.is(tracker.getSilentSince(5000), undefined);
+});
