Sessions: a read whose instance falls silent is also asked elsewhere

Ruled out: breaking the first attempt off (an instance that is only slow would have worked for nothing). Change: once the instance has answered nothing for 0.3 s since a question, the read goes to another as well; whichever answers first is taken, and the first goes on to its end on its connection. Test: 'a read whose instance falls silent is answered by another long before its timeout' (times out before).

--- a/packages/gateway/src/sessions/single-statement.ts
+++ b/packages/gateway/src/sessions/single-statement.ts
@@ -19,6 +19,22 @@
 /** Time that is told to a caller whose statement no instance took, milliseconds. */
 const retryAfterMs = 200;
 
+/** Interval at which a read's instance is looked at, milliseconds. */
+const doubtCheckMs = 50;
+
+/** One offer of a statement to an instance. */
+type Attempt = {
+	readonly operation: Operation;
+	readonly request: StatementRequest;
+	readonly prepared: PreparedStatement | undefined;
+	readonly isWrite: boolean;
+	readonly number: number;
+	/** Instances that are not to be tried, by id. */
+	readonly excluded: Set<string>;
+	/** Where it runs, once it does. */
+	place: Place | undefined;
+};
+
 /** Runs statements outside transactions: on any instance that is fresh enough, and again elsewhere while that is safe. */
 export class SingleStatement {
 	constructor(private readonly services: SessionServices, private readonly runner: StatementRunner) {}
@@ -29,36 +45,88 @@
 		const excluded = new Set<string>();
 		const {route, startedAt} = operation;
 		const deadline = startedAt + route.statementTimeoutMs;
-		for (let attempt = 0; attempt < maxAttempts && this.services.clock.now() < deadline; attempt++) {
-			const since = isWrite ? undefined : getRequiredPosition(operation, this.services.terms);
-			const acquired = await this.services.dispatcher.acquire({
-				group: route.group, account: operation.account, target: since === undefined ? 'primary' : 'any', since, priority: route.priority,
-				deadline: startedAt + (route.statementTimeoutMs * waitingPart), excluded,
-			});
-			if (acquired.kind === 'refused') {
-				return acquired;
+		const doubtful = new Set<Promise<OperationOutcome | undefined>>();
+		for (let number = 0; number < maxAttempts && this.services.clock.now() < deadline; number++) {
+			const attempt: Attempt = {
+				operation, request, prepared, isWrite, number, excluded, place: undefined,
+			};
+			const trying = this.#try(attempt);
+			const outcome = await (isWrite ? trying : this.#settle(attempt, trying, doubtful));
+			if (outcome === 'doubtful') {
+				// It may still answer; whichever does first is taken.
+				doubtful.add(trying);
+				excluded.add(attempt.place!.pool.instance.id);
+				this.services.metrics.addCount('read_doubted');
+			} else if (outcome !== undefined && (outcome.kind === 'completed' || doubtful.size === 0)) {
+				return outcome;
+			} else if (outcome !== undefined) {
+				break;
 			}
+		}
 
-			const {place} = acquired;
-			const outgoing = {id: request.id, statement: request.statement, ...(!place.isPrimary && since !== undefined && {since})};
-			const result = await this.runner.run(place, operation, outgoing, prepared, deadline);
-			this.services.dispatcher.release(place, result.kind !== 'lost' && result.state === 'idle');
-			const outcome = await this.#judge(operation, place, result, isWrite);
-			if (outcome !== undefined) {
-				return outcome;
+		return await getFirstOutcome(doubtful) ?? {kind: 'refused', refusal: refusals.overloaded(route.group, retryAfterMs)};
+	}
+
+	/** Waits for an attempt at a read, an earlier one that was doubted, or a reason to doubt this one. */
+	async #settle(attempt: Attempt, trying: Promise<OperationOutcome | undefined>, doubtful: ReadonlySet<Promise<OperationOutcome | undefined>>): Promise<OperationOutcome | 'doubtful' | undefined> {
+		return new Promise((resolve, reject) => {
+			const timer = setInterval(() => {
+				if (attempt.place?.pool.tracker.getSilentSince(this.services.clock.now()) !== undefined) {
+					clearInterval(timer);
+					resolve('doubtful');
+				}
+			}, doubtCheckMs);
+			trying.then(outcome => {
+				clearInterval(timer);
+				resolve(outcome);
+			}).catch((error: unknown) => {
+				clearInterval(timer);
+				reject(error instanceof Error ? error : new Error(String(error)));
+			});
+			for (const earlier of doubtful) {
+				earlier.then(outcome => {
+					if (outcome !== undefined) {
+						clearInterval(timer);
+						resolve(outcome);
+					}
+				}).catch(() => {
+					// It was reported when it was the newest attempt.
+				});
 			}
+		});
+	}
 
+	/** Offers the statement to one instance; undefined when it may be tried again. */
+	async #try(attempt: Attempt): Promise<OperationOutcome | undefined> {
+		const {operation, request, prepared, isWrite, number, excluded} = attempt;
+		const {route, startedAt} = operation;
+		const deadline = startedAt + route.statementTimeoutMs;
+		const since = isWrite ? undefined : getRequiredPosition(operation, this.services.terms);
+		const acquired = await this.services.dispatcher.acquire({
+			group: route.group, account: operation.account, target: since === undefined ? 'primary' : 'any', since, priority: route.priority,
+			deadline: startedAt + (route.statementTimeoutMs * waitingPart), excluded,
+		});
+		if (acquired.kind === 'refused') {
+			return acquired;
+		}
+
+		const {place} = acquired;
+		attempt.place = place;
+		const outgoing = {id: request.id, statement: request.statement, ...(!place.isPrimary && since !== undefined && {since})};
+		const result = await this.runner.run(place, operation, outgoing, prepared, deadline);
+		this.services.dispatcher.release(place, result.kind !== 'lost' && result.state === 'idle');
+		const outcome = await this.#judge(operation, place, result, isWrite);
+		if (outcome === undefined) {
 			this.services.log.logEvent('statement.retried', {
-				request: request.id, group: route.group, instance: place.pool.instance.id, attempt, result: result.kind, reason: 'reason' in result ? result.reason : undefined,
+				request: request.id, group: route.group, instance: place.pool.instance.id, attempt: number, result: result.kind, reason: 'reason' in result ? result.reason : undefined,
 				isPrimary: place.isPrimary, since: since === undefined ? undefined : `${since.term}.${since.offset}`, waitedMs: Math.round(this.services.clock.now() - startedAt),
 			});
-
 			if (!place.isPrimary || result.kind === 'lost') {
 				excluded.add(place.pool.instance.id);
 			}
 		}
 
-		return {kind: 'refused', refusal: refusals.overloaded(route.group, retryAfterMs)};
+		return outcome;
 	}
 
 	/** Returns the final answer, or undefined when the statement may be tried again. */
@@ -87,3 +155,24 @@
 export function describeLoss(operation: Operation, reason: 'closed' | 'timeout'): Refusal {
 	return reason === 'timeout' ? refusals.statementTimeout(operation.route.statementTimeoutMs) : refusals.outcomeUnknown('the instance closed the connection');
 }
+
+/** Returns the first answer of several attempts, undefined when none has any. */
+async function getFirstOutcome(attempts: ReadonlySet<Promise<OperationOutcome | undefined>>): Promise<OperationOutcome | undefined> {
+	if (attempts.size === 0) {
+		return undefined;
+	}
+
+	try {
+		return await Promise.any([...attempts].map(async attempt => {
+			const outcome = await attempt;
+			if (outcome === undefined) {
+				throw new Error('no answer');
+			}
+
+			return outcome;
+		}));
+	} catch {
+		// Every attempt ended without an answer.
+		return undefined;
+	}
+}
--- a/packages/gateway/src/tests/sessions/sessions.test.ts
+++ b/packages/gateway/src/tests/sessions/sessions.test.ts
@@ -227,3 +227,25 @@
 	t.is(cluster.database.events.length, before + 1);
 	cluster.stop();
 });
+
+test.serial('a read whose instance falls silent is answered by another long before its timeout', async t => {
+	const cluster = new TestCluster(['vm1']);
+	await cluster.start();
+	const writer = cluster.openSession('vm1', 'strict');
+	await writer.ask(write);
+	await cluster.time.advance(100);
+	const readers = Array.from({length: 12}, () => cluster.openSession('vm1', 'bounded'));
+	await cluster.time.waitFor(Promise.all(readers.map(async reader => reader.send(read))));
+	cluster.database.cuts.add('vm1 db-2');
+	const startedAt = cluster.time.now();
+	const times: number[] = [];
+	await cluster.time.waitFor(Promise.all(readers.map(async reader => {
+		const answer = await reader.send(read);
+		t.is(answer.result.kind, 'completed');
+		times.push(cluster.time.now() - startedAt);
+	})));
+	t.true(Math.max(...times) > 300, 'no read met the silent instance');
+	t.true(Math.max(...times) < 500, `${Math.max(...times)}`);
+	t.true(cluster.getGateway('vm1').metrics.getCount('read_doubted') > 0);
+	cluster.stop();
+});
