--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -111,6 +111,7 @@
 	#answeredAt = Number.NEGATIVE_INFINITY;
 	#polledAt = Number.NEGATIVE_INFINITY;
 	#isPolling = false;
+	#isStoreAway = false;
 	/** Pause until the store is asked again. */
 	#pollPauseMs = storePollMs;
 	#checkedMembersAt = 0;
@@ -547,13 +548,21 @@
 					this.#coordinator = undefined;
 				}
 
-				this.parts.log.logEvent('store.unavailable', {call: 'shared rows', reason: result.failure.reason, why: result.failure.message});
 			}
+
+			this.#observeStore(result.kind === 'ok', result.kind === 'ok' ? '' : `${result.failure.reason}: ${result.failure.message}`);
 		} finally {
 			this.#isPolling = false;
 		}
 	}
 
+	#observeStore(isThere: boolean, why: string): void {
+		if (this.#isStoreAway === isThere) {
+			this.#isStoreAway = !isThere;
+			this.parts.log.logEvent(isThere ? 'store.regained' : 'store.lost', {call: 'shared rows', why});
+		}
+	}
+
 	/** Lets VMs of more capacity go first: the coordinator answers all others. */
 	#isTurn(): boolean {
 		const now = this.parts.clock.now();
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -37,9 +37,6 @@
 	'store.regained': {
 		importance: 'state', scope: 'vm', isCause: true, says: 'a kind of call to the store works again', fields: {call: 'string', why: 'string?'},
 	},
-	'store.unavailable': {
-		importance: 'state', scope: 'vm', isCause: true, says: 'the shared rows could not be read while no coordinator answers', fields: {call: 'string', reason: 'string', why: 'string'},
-	},
 	'entry.unreadable': {
 		importance: 'state', scope: 'vm', isCause: true, says: 'an instance or configuration entry cannot be read; it is left out', fields: {row: 'string', version: 'number', reason: 'string'},
 	},
