Dispatch: one closed connection does not take an instance out of use

Ruled out: a crash (other connections went on). Change: only a refused or timed-out attempt counts; after a crash the next connection is refused within milliseconds.

--- a/packages/gateway/src/dispatch/instance-tracker.ts
+++ b/packages/gateway/src/dispatch/instance-tracker.ts
@@ -83,7 +83,11 @@
 	/** Takes in a statement's outcome and the time that it took. */
 	observeOutcome(outcome: StatementOutcome, sentAt: number, now: number): void {
 		if (outcome.kind === 'broken') {
-			this.observeFailure(outcome.reason === 'closed' ? 'refused' : 'silent', sentAt, now);
+			// One connection that was closed tells nothing of the instance: the next one does.
+			if (outcome.reason === 'timeout') {
+				this.observeFailure('silent', sentAt, now);
+			}
+
 			return;
 		}
 
--- a/packages/gateway/src/tests/dispatch/instance-tracker.test.ts
+++ b/packages/gateway/src/tests/dispatch/instance-tracker.test.ts
@@ -93,3 +93,12 @@
 	tracker.endQuestion(question);
 	t.is(tracker.getSilentSince(5000), undefined);
 });
+
+test('one connection that is closed under a statement does not keep others from the instance', t => {
+	const tracker = createTracker();
+	tracker.observeOutcome({kind: 'broken', reason: 'closed'}, 100, 120);
+	t.true(tracker.isUsable(121));
+	t.is(tracker.failingSince, undefined);
+	tracker.observeFailure('refused', 130, 131);
+	t.is(tracker.failingSince, 131);
+});
