--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -542,12 +542,9 @@
 			this.#pollPauseMs = result.kind === 'ok' ? storePollMs : storeAwayPollMs;
 			if (result.kind === 'ok') {
 				await this.#applyState(parseSharedRows(result.value, this.parts.log), at);
-			} else {
-				if (this.#answeredAt < at.steady) {
-					// The row that was read last may be old: other VMs may know better.
-					this.#coordinator = undefined;
-				}
-
+			} else if (this.#answeredAt < at.steady) {
+				// The row that was read last may be old: other VMs may know better.
+				this.#coordinator = undefined;
 			}
 
 			this.#observeStore(result.kind === 'ok', result.kind === 'ok' ? '' : `${result.failure.reason}: ${result.failure.message}`);
