Limits: an account whose limit is lowered is not locked out

Change: what was used counts in proportion to the lower limit. Test: 'an account whose limit is lowered goes on at once at the lower one' fails without.

--- a/packages/decisions/src/limits/window-counter.ts
+++ b/packages/decisions/src/limits/window-counter.ts
@@ -35,6 +35,15 @@
 		this.#sum += count;
 	}
 
+	/** Counts what is in the window as a part of it. */
+	scale(factor: number): void {
+		for (const [index, count] of this.#counts.entries()) {
+			this.#counts[index] = count * factor;
+		}
+
+		this.#sum *= factor;
+	}
+
 	/** Returns the operations in the window that ends now. */
 	getCount(now: number): number {
 		this.#advance(now);
--- a/packages/decisions/src/limits/window-limit.ts
+++ b/packages/decisions/src/limits/window-limit.ts
@@ -15,13 +15,16 @@
 export class WindowLimit {
 	readonly #counter: WindowCounter;
 	readonly #bucket: TokenBucket;
+	/** Operations in a window by the limit, and what is left of them beside others. */
+	#allowed: number;
 	#most: number;
 
 	/**
 	 * @param windowMs - Window over which the limit holds, milliseconds.
 	 */
 	constructor(limit: BucketLimit, private readonly windowMs: number, now: number) {
-		this.#most = countAllowed(limit, windowMs);
+		this.#allowed = countAllowed(limit, windowMs);
+		this.#most = this.#allowed;
 		this.#counter = new WindowCounter(windowMs);
 		this.#bucket = new TokenBucket(this.#describeBucket(limit, this.#most), limit.burst, now);
 	}
@@ -43,6 +46,12 @@
 	 */
 	setLimit(limit: BucketLimit, reserved: number, leastPart: number, now: number): void {
 		const allowed = countAllowed(limit, this.windowMs);
+		if (allowed < this.#allowed) {
+			// What was used while more was allowed does not lock the account out of what is allowed now.
+			this.#counter.scale(allowed / this.#allowed);
+		}
+
+		this.#allowed = allowed;
 		this.#most = Math.max(allowed * leastPart, allowed - reserved);
 		this.#bucket.setLimit(this.#describeBucket(limit, this.#most), now);
 	}
--- a/packages/decisions/src/tests/limits/window-limit.test.ts
+++ b/packages/decisions/src/tests/limits/window-limit.test.ts
@@ -44,6 +44,19 @@
 	}
 });
 
+test('an account whose limit is lowered goes on at once at the lower one', t => {
+	const whole = new WindowLimit(limit, windowMs, 0);
+	askEvenly(now => whole.takeToken(now), 80, 10_000);
+	const lower = {ratePerS: 20, burst: 20};
+	whole.setLimit(lower, 0, 0.3, 10_000);
+	const served = askEvenly(now => whole.takeToken(now + 10_000), 80, 5000);
+	for (let second = 0; second < 5; second++) {
+		t.true(served.filter(time => time >= second * 1000 && time < (second + 1) * 1000).length >= 10, `second ${second}: ${served.join(' ')}`);
+	}
+
+	t.true(served.length <= countAllowed(lower, windowMs));
+});
+
 test('a limit whose past is not known begins as if the rate had been used', t => {
 	const young = new WindowLimit(limit, windowMs, 0);
 	young.assumeUsed(limit, 0.3 * limit.burst, 0);
