Protocol: times between VMs in tenths of a millisecond, evidence without what it lacks

Cause: heartbeats and reports carried times with 15 digits; on the grown sites they are a large part of what is sent between zones.

--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -176,7 +176,7 @@
 				instanceId: evidence.instanceId,
 				answeredAt: evidence.answeredAgoMs === undefined ? undefined : member.heardAt - evidence.answeredAgoMs,
 				failingSince: evidence.failingForMs === undefined ? undefined : member.heardAt - evidence.failingForMs,
-				isRefused: evidence.isRefused,
+				isRefused: evidence.isRefused === true,
 			}];
 		});
 	}
--- a/packages/gateway/src/coordination/heartbeat-writer.ts
+++ b/packages/gateway/src/coordination/heartbeat-writer.ts
@@ -81,7 +81,7 @@
 					instanceId: seen.instanceId,
 					answeredAgoMs: seen.answeredAt === undefined ? undefined : now - seen.answeredAt,
 					failingForMs: seen.failingSince === undefined ? undefined : now - seen.failingSince,
-					isRefused: seen.isRefused,
+					isRefused: seen.isRefused || undefined,
 				};
 			}
 		}
--- a/packages/protocol/src/coordination/messages.ts
+++ b/packages/protocol/src/coordination/messages.ts
@@ -14,7 +14,8 @@
 	answeredAgoMs: optional(number),
 	/** Time since which there were only failures, absent while all is well. */
 	failingForMs: optional(number),
-	isRefused: boolean,
+	/** Whether the failures were refusals; absent where they were not. */
+	isRefused: optional(boolean),
 });
 
 /** Who leads a group, as the store's row of that revision says. */
@@ -150,7 +151,14 @@
 	}
 }
 
+/** Steps in which times are sent, parts of a millisecond: far below every margin. */
+const stepsPerMs = 10;
+
+function roundNumber(_key: string, value: unknown): unknown {
+	return typeof value === 'number' && !Number.isInteger(value) ? Math.round(value * stepsPerMs) / stepsPerMs : value;
+}
+
 /** Writes one message between VMs as a line. */
 export function formatPeerMessage(message: PeerMessage): string {
-	return `${JSON.stringify(message)}\n`;
+	return `${JSON.stringify(message, roundNumber)}\n`;
 }
