Configuration: versions in quick succession are read as few

Change: two readings are at least 0.5 s apart; what is left out the next report tells again, within the time that deployments allow for a version (3 s).

--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -64,6 +64,9 @@
 /** Time for which a VM that leaves goes on with a change of primary, milliseconds: a promotion with its preparation. */
 const handOverMs = 2500;
 
+/** Least time between two readings of the configuration, milliseconds: versions that follow each other quickly are read as one. */
+const refreshIntervalMs = 500;
+
 /** Time for a call to the store, milliseconds. */
 const callTimeoutMs = 800;
 
@@ -111,6 +114,8 @@
 	#answeredAt = Number.NEGATIVE_INFINITY;
 	#polledAt = Number.NEGATIVE_INFINITY;
 	#isPolling = false;
+	/** Time at which a newer configuration was last asked for. */
+	#refreshedAt = Number.NEGATIVE_INFINITY;
 	#isStoreAway = false;
 	/** Pause until the store is asked again. */
 	#pollPauseMs = storePollMs;
@@ -467,7 +472,9 @@
 
 		this.parts.duty.observeVersion(report.dutyRevision);
 		const sentAt = this.#heartbeats.observeReport(report);
-		if (report.configurationVersion > this.parts.configuration.version) {
+		// What is left out here the next report tells again.
+		if (report.configurationVersion > this.parts.configuration.version && now - this.#refreshedAt >= refreshIntervalMs) {
+			this.#refreshedAt = now;
 			void this.#refreshConfiguration(report.configurationVersion);
 		}
 
--- a/packages/gateway/src/tests/coordination/failover.test.ts
+++ b/packages/gateway/src/tests/coordination/failover.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {type FakeInstance} from '../fakes/fake-database.js';
 import {
-	describeAnswer, statements, TestCluster, type TestCaller,
+	createConfiguration, describeAnswer, statements, TestCluster, type TestCaller,
 } from '../fakes/test-cluster.js';
 
 const {read, write} = statements;
@@ -364,3 +364,24 @@
 	t.true(answer.result.kind === 'refused' && answer.result.refusal.retryAfterMs >= 400);
 	cluster.stop();
 });
+
+test.serial('versions of the configuration in quick succession are read as few, and the last one comes into force everywhere', async t => {
+	const vms = Array.from({length: 8}, (_, index) => `vm${index + 1}`);
+	const cluster = new TestCluster(vms);
+	await cluster.start();
+	const count = () => vms.map(vm => cluster.getGateway(vm).metrics.getCount('store_call_read_configuration')).reduce((sum, one) => sum + one, 0);
+	const before = count();
+	for (let version = 2; version <= 21; version++) {
+		cluster.store.setConfiguration(createConfiguration(version));
+		await cluster.time.advance(60);
+	}
+
+	await cluster.time.advance(1500);
+	for (const vm of vms) {
+		t.is(cluster.log.events.findLast(event => event.vm === vm && event.name === 'configuration.applied')!.fields.version, 21, vm);
+	}
+
+	// 20 versions, 5 VMs that are told by the coordinator: 100 readings without a pause between them.
+	t.true(count() - before <= 30, `${count() - before}`);
+	cluster.stop();
+});
--- a/packages/gateway/src/tests/fakes/test-cluster.ts
+++ b/packages/gateway/src/tests/fakes/test-cluster.ts
@@ -12,11 +12,11 @@
 
 /** Keeps what is logged. */
 class LogSink extends Writable {
-	readonly events: Array<{readonly vm: string; readonly name: string}> = [];
+	readonly events: Array<{readonly vm: string; readonly name: string; readonly fields: Readonly<Record<string, unknown>>}> = [];
 
 	override _write(chunk: unknown, _encoding: string, done: () => void): void {
-		const {message, context} = JSON.parse(String(chunk)) as {message: string; context: {vm: string}};
-		this.events.push({vm: context.vm, name: message});
+		const {message, context} = JSON.parse(String(chunk)) as {message: string; context: Record<string, unknown>};
+		this.events.push({vm: String(context.vm), name: message, fields: context});
 		done();
 	}
 }
