Limits: processes that just started begin with a tenth of their share

Ruled out: the new coordinator (takes the rate as used and 0.3 of the burst), what waits for the lease (counted). Change: a process without word from the coordinator begins with a tenth of its share and gets the rest over one window.

--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -20,8 +20,8 @@
 /** Time for which a token that was given back may be used again, milliseconds: the next statements of the account. */
 const givenBackMs = 300;
 
-/** Part of its even share that a process without word from the coordinator begins with: what its VM used before is not known. */
-const youngPart = 0.5;
+/** Part of its share that a process without word from the coordinator begins with: what its VM used in the window before is not known. */
+const youngPart = 0.1;
 
 const msPerSecond = 1000;
 
@@ -210,12 +210,13 @@
 		}
 
 		state.unheardMost ??= this.#chooseUnheardMost(account, this.#members, state, now);
+		const most = Math.max(1, state.unheardMost * this.#getKnownPart(now));
 		for (const settle of waiters) {
-			if (state.used.getCount(now) + 1 <= state.unheardMost) {
+			if (state.used.getCount(now) + 1 <= most) {
 				state.used.add(1, now);
 				settle(0);
 			} else {
-				settle(state.used.getWaitMs(state.unheardMost - 1, now));
+				settle(state.used.getWaitMs(most - 1, now));
 			}
 		}
 	}
@@ -224,9 +225,12 @@
 	#chooseUnheardMost(account: string, members: number, state: AccountState, now: number): number {
 		const {limitWindowMs} = this.getSettings();
 		const limit = this.configuration.getAccount(account);
-		const knownPart = Math.min(1, youngPart + ((1 - youngPart) * ((now - this.#startedAt) / limitWindowMs)));
-		const allowed = limit === undefined ? 0 : countAloneAllowed(limit, limitWindowMs, members, state.used.getCount(now));
-		return Math.max(1, allowed * knownPart);
+		return limit === undefined ? 0 : countAloneAllowed(limit, limitWindowMs, members, state.used.getCount(now));
+	}
+
+	/** Returns the part of a window of which this process knows what its VM used. */
+	#getKnownPart(now: number): number {
+		return Math.min(1, youngPart + ((now - this.#startedAt) / this.getSettings().limitWindowMs));
 	}
 
 	#getState(account: string): AccountState {
--- a/packages/gateway/src/tests/limits/limits.test.ts
+++ b/packages/gateway/src/tests/limits/limits.test.ts
@@ -135,3 +135,27 @@
 	t.true(names.lastIndexOf('term-lease.taken') > names.indexOf('term-lease.lost'));
 	cluster.stop();
 });
+
+test.serial('VMs that are all killed under a pressing account do not give it its limit once more', async t => {
+	const vms = Array.from({length: 7}, (_, index) => `vm${index + 1}`);
+	const cluster = new TestCluster(vms);
+	cluster.database.options.serviceMs = 1;
+	await cluster.start(createLimited(40, 40));
+	await sendAtPace(cluster, vms, 320, 6500);
+	for (const {gateway} of cluster.gateways.values()) {
+		gateway.stop();
+	}
+
+	// The coordinator does not come back: nobody divides the limit for seconds.
+	const others = vms.filter(vm => vm !== cluster.getCoordinator());
+	await cluster.time.advance(100);
+	for (const vm of others) {
+		await cluster.startVm(vm);
+	}
+
+	await cluster.time.advance(150);
+	await sendAtPace(cluster, others, 320, 3000);
+	t.true(countBusiestWindow(cluster) <= (((40 * 5) + 40) * (1 + overage)) + slack, `${countBusiestWindow(cluster)}`);
+	t.true(cluster.database.events.length > 300, 'the account is served before and after');
+	cluster.stop();
+});
