--- a/packages/gateway/src/dispatch/instance-tracker.ts
+++ b/packages/gateway/src/dispatch/instance-tracker.ts
@@ -32,7 +32,7 @@
 const shortageMs = 1000;
 
 /** Time without any answer after which an instance is doubted, milliseconds: longer than a full queue before it takes. */
-export const silentMs = 300;
+const silentMs = 300;
 
 /** Something that an instance was asked. */
 export type Question = {
