--- a/packages/testkit/src/tests/faults/writes.test.ts
+++ b/packages/testkit/src/tests/faults/writes.test.ts
@@ -1,7 +1,7 @@
 import {ConnectError} from '@connectrpc/connect';
 import test from 'ava';
 import {RefusalDetailSchema} from '@chicorysaddle/protocol';
-import {startLocalProxies, waitFor} from '../local-proxies.js';
+import {askUntilServed, startLocalProxies, waitFor} from '../local-proxies.js';
 
 type Refused = {readonly kind: string; readonly ran: string; readonly session: string};
 
@@ -25,6 +25,8 @@
 	const local = await startLocalProxies({vms: 1});
 	t.teardown(local.stop);
 	const [group] = local.deployment.groups;
+	// A process that had no processor for a while has to confirm its primary first.
+	await askUntilServed(async () => local.createCaller(0).run({route: 'orders.get', parameters: {key: 'k'}}));
 	const primary = group!.getPrimary();
 	primary.isCutOff = true;
 	const file = {route: 'orders.file', parameters: {key: 'k', value: 'v', tag: 'v'}};
--- a/packages/testkit/src/tests/local-proxies.ts
+++ b/packages/testkit/src/tests/local-proxies.ts
@@ -1,6 +1,6 @@
-import {type Client, createClient} from '@connectrpc/connect';
+import {type Client, ConnectError, createClient} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
-import {DatabaseService} from '@chicorysaddle/protocol';
+import {DatabaseService, RefusalDetailSchema} from '@chicorysaddle/protocol';
 import {hashKey, Proxy, settingsSchema} from '@chicorysaddle/proxy';
 import {type AccountStructure, bootstrapConfiguration} from '../embedded/bootstrap.js';
 import {createDeployment, type Deployment} from '../stand-ins/index.js';
@@ -41,6 +41,25 @@
 	}
 }
 
+/** Asks as a caller has to: a refusal that says that nothing ran, for want of a primary, is worth asking again. */
+export async function askUntilServed<Answer>(ask: () => Promise<Answer>, limitMs = 20_000): Promise<Answer> {
+	const until = performance.now() + limitMs;
+	for (;;) {
+		try {
+			return await ask();
+		} catch (error) {
+			const [detail] = ConnectError.from(error).findDetails(RefusalDetailSchema);
+			if (detail?.kind !== 'no-primary' || detail.ran !== 'no' || performance.now() > until) {
+				throw error;
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, 50);
+			});
+		}
+	}
+}
+
 /** Starts proxies and waits until they are ready. */
 export async function startLocalProxies(options: LocalProxiesOptions): Promise<LocalProxies> {
 	const zones = ['zone-1', 'zone-2', 'zone-3'];
