Transactions: a connection is reserved when the transaction begins

Change: TransactionReservation; a connection is acquired when BEGIN comes unless statements wait for one, and is returned after the pause that callers usually make, with four mean deviations on top. A reserved connection that breaks before the first statement is replaced.

--- a/packages/decisions/src/connections/index.ts
+++ b/packages/decisions/src/connections/index.ts
@@ -1,1 +1,2 @@
 export * from './connection-allowance.js';
+export * from './transaction-reservation.js';
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -141,8 +141,15 @@
 		return [...this.#pools.values()].filter(({instance}) => group === undefined || instance.group === group).map(pool => pool.formatUsage(this.dependencies.clock.now())).join(' ');
 	}
 
-	/** Counts the requests that wait for a connection. */
-	countWaiting(): number {
+	/**
+	 * Counts the requests that wait for a connection.
+	 * @param group - Group of the instances; all groups if absent.
+	 */
+	countWaiting(group?: string): number {
+		if (group !== undefined) {
+			return this.#queues.get(group)?.size ?? 0;
+		}
+
 		let count = 0;
 		for (const queue of this.#queues.values()) {
 			count += queue.size;
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -210,6 +210,7 @@
 		this.#transaction = new Transaction(this.dependencies, this.#runner, admission.operation, statement.kind === 'begin' ? statement.access : 'read-write');
 		this.#state = 'in-transaction';
 		this.#acknowledge();
+		this.#transaction.reserveConnection();
 	}
 
 	async #endTransaction(request: StatementRequest): Promise<void> {
--- a/packages/gateway/src/sessions/session-dependencies.ts
+++ b/packages/gateway/src/sessions/session-dependencies.ts
@@ -1,3 +1,4 @@
+import {type TransactionReservation} from '@chicorysaddle/decisions';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Dispatcher} from '../dispatch/index.js';
 import {type AccountLimiter} from '../limits/index.js';
@@ -10,6 +11,7 @@
 	readonly configuration: ConfigurationView;
 	readonly dispatcher: Dispatcher;
 	readonly limiter: AccountLimiter;
+	readonly reservation: TransactionReservation;
 	readonly terms: TermRegistry;
 	readonly clock: Clock;
 	readonly log: EventLog;
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -27,9 +27,14 @@
 	readonly isOpen: boolean;
 };
 
-/** A caller's transaction, pinned to one connection from its first statement on. */
+/** A caller's transaction, pinned to one connection from its first statement on, or earlier if one can be reserved. */
 export class Transaction {
 	#placement: Placement | undefined;
+	/** Reservation of a connection before the first statement, while it is being made. */
+	#reservation: Promise<void> | undefined;
+	/** Returns the reserved connection if the first statement does not come in time. */
+	#reservationTimer: NodeJS.Timeout | undefined;
+	#hasStatement = false;
 	#hasWritten = false;
 	#isRunning = false;
 	#isEnded = false;
@@ -47,7 +52,7 @@
 		const deadline = startedAt + this.operation.route.statementTimeoutMs;
 		this.#isRunning = true;
 		try {
-			const refusal = await this.#pin(startedAt, deadline);
+			const refusal = await this.#waitUntilPinned(startedAt, deadline);
 			if (refusal !== undefined) {
 				return this.#fail(refusal);
 			}
@@ -64,14 +69,63 @@
 		}
 	}
 
+	/** Reserves a connection before the first statement arrives, unless other statements wait for one. */
+	reserveConnection(): void {
+		const {dispatcher, reservation} = this.dependencies;
+		const {group, statementTimeoutMs} = this.operation.route;
+		if (reservation.canReserve(dispatcher.countWaiting(group))) {
+			const startedAt = this.dependencies.clock.now();
+			this.#reservation = this.#reserve(startedAt, startedAt + statementTimeoutMs);
+		}
+	}
+
 	/** Rolls the transaction back, after the running statement if there is one. */
 	rollBack(): void {
 		this.#isEnded = true;
+		clearTimeout(this.#reservationTimer);
 		if (!this.#isRunning) {
 			void this.#rollBackAtInstance();
 		}
 	}
 
+	async #reserve(startedAt: number, deadline: number): Promise<void> {
+		try {
+			// The first statement tries again by itself after a refusal, and is answered with its own.
+			await this.#pin(startedAt, deadline);
+		} catch (error) {
+			this.dependencies.log.logEvent('session.error', {connection: undefined, request: this.operation.id, error: error instanceof Error ? error.stack ?? error.message : String(error)});
+		} finally {
+			this.#reservation = undefined;
+		}
+
+		if (this.#isEnded && !this.#isRunning) {
+			await this.#rollBackAtInstance();
+		} else if (!this.#hasStatement) {
+			this.#reservationTimer = setTimeout(() => {
+				this.dependencies.metrics.addCount('reservation_unused');
+				void this.#rollBackAtInstance();
+			}, this.dependencies.reservation.getHoldMs());
+		}
+	}
+
+	/** Waits for the reserved connection, or acquires one; returns a refusal if that fails. */
+	async #waitUntilPinned(startedAt: number, deadline: number): Promise<Refusal | undefined> {
+		if (this.#hasStatement) {
+			return undefined;
+		}
+
+		this.#hasStatement = true;
+		clearTimeout(this.#reservationTimer);
+		this.dependencies.reservation.recordPause(startedAt - this.operation.startedAt);
+		await this.#reservation;
+		if (this.#placement?.connection.instanceConnection.isOpen === false) {
+			// Nothing has run on the reserved connection, so the transaction may begin on another one.
+			this.#release(false);
+		}
+
+		return this.#pin(startedAt, deadline);
+	}
+
 	async #runWithRetries(placement: Placement, request: StatementRequest, prepared: PreparedStatement | undefined, deadline: number): Promise<RunResult> {
 		for (let attempt = 0; ; attempt++) {
 			const result = await this.runner.run(placement, this.operation, {id: request.id, statement: request.statement}, prepared, deadline);
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -143,7 +143,7 @@
 		},
 	},
 	'session.error': {
-		importance: 'state', scope: 'request', isPossibleCause: false, description: 'an internal error occurred while a statement was handled', fields: {connection: 'string', request: 'string', error: 'string'},
+		importance: 'state', scope: 'request', isPossibleCause: false, description: 'an internal error occurred while a statement was handled', fields: {connection: 'string?', request: 'string', error: 'string'},
 	},
 	'statement.refused': {
 		importance: 'refusal', scope: 'request', isPossibleCause: false, description: 'a statement was refused; the error kind, and whether it ran',
