Limits: the last tokens of an account are kept for its urgent operations; connections: a new process starts slowly

Change: UrgentReserve, trunk reservation at the issuer and in a VM that enforces a limit alone; requests for tokens say how many are urgent (an older coordinator ignores it).

Change: the fraction grows with shortages and halves with a refusal.

--- a/packages/decisions/src/connections/connection-allowance.ts
+++ b/packages/decisions/src/connections/connection-allowance.ts
@@ -16,6 +16,9 @@
 /** Maximum idle time after which a connection is closed, in milliseconds. */
 const maxIdleTimeoutMs = 1000;
 
+/** Idle time after which a process that has just started closes a connection, in milliseconds. */
+const startIdleTimeoutMs = 100;
+
 /** Fraction of an instance's connections that the idle ones of all VMs may take together. */
 const maxIdleFraction = 0.2;
 
@@ -28,13 +31,19 @@
 /** Time without a refusal after which the idle time doubles again, in milliseconds. */
 const idleRecoveryMs = 2000;
 
+/** Fraction of its connections that a new process uses at first, as the instance may still count those of its predecessor. */
+const initialStartFraction = 0.2;
+
+/** Factor by which a shortage without a refusal raises the fraction that a new process uses. */
+const startGrowthFactor = 1.5;
+
 /** Connections of an instance that several VMs share. */
 export type SharedConnections = {
 	/** Number of connections that the instance accepts. */
 	readonly capacity: number;
 	readonly vms: number;
-	/** Fraction of the capacity that is usable now; the instance may still count the rest for VMs that lost power. */
-	readonly usableFraction: number;
+	/** Whether this process has just started, so that the instance may still count connections of VMs that lost power. */
+	readonly isStarting: boolean;
 };
 
 /**
@@ -43,6 +52,9 @@
  * An even share is wasteful where it is only a few connections: each VM needs several for moments and none for most of the time.
  * There, a VM may exceed its share while it has demand, by a number that grows until the instance refuses a connection. Unused connections
  * stay open for a time that leaves most of the instance's connections free if all VMs open as many as this one. A refusal halves both.
+ *
+ * After a loss of power an instance counts the connections of the former processes for a while, after a kill it does not. A new process
+ * can't tell the two apart, so it starts slowly: with a fraction of its connections, which grows with shortages until one is refused.
  */
 export class ConnectionAllowance {
 	#extra = initialExtra;
@@ -53,11 +65,13 @@
 	#openedAt = 0;
 	/** Number of halvings of the idle time at the last refusal. */
 	#idleHalvings = 0;
+	#startFraction = initialStartFraction;
 
 	/** Returns the maximum number of connections that the VM may hold, at least one. */
 	getLimit(shared: SharedConnections): number {
-		const evenLimit = Math.max(1, Math.floor(computeEvenShare(shared) * shared.usableFraction));
-		return isAmple(shared) ? evenLimit : evenLimit + Math.min(this.#extra, getMaxExtra(shared));
+		const usableFraction = shared.isStarting ? this.#startFraction : 1;
+		const evenLimit = Math.max(1, Math.floor(computeEvenShare(shared) * usableFraction));
+		return isAmple(shared) ? evenLimit : evenLimit + Math.min(this.#extra, getMaxExtra(shared, usableFraction));
 	}
 
 	/**
@@ -65,13 +79,18 @@
 	 * @param keptFraction - Fraction of an ample limit that stays open.
 	 */
 	getKeptIdleCount(shared: SharedConnections, keptFraction: number): number {
-		return isAmple(shared) ? Math.max(1, Math.floor(this.getLimit(shared) * keptFraction)) : 0;
+		if (!isAmple(shared)) {
+			return 0;
+		}
+
+		// What a starting process opened beyond its first fraction may be all that is left for others.
+		return shared.isStarting ? 1 : Math.max(1, Math.floor(this.getLimit(shared) * keptFraction));
 	}
 
 	/** Returns the idle time after which another connection is closed, in milliseconds. */
 	getIdleTimeoutMs(shared: SharedConnections, now: number): number {
 		if (isAmple(shared)) {
-			return maxIdleTimeoutMs;
+			return shared.isStarting ? startIdleTimeoutMs : maxIdleTimeoutMs;
 		}
 
 		const timeoutMs = (maxIdleFraction * computeEvenShare(shared) * openingTimeConstantMs) / this.#computeRecentOpenings(now);
@@ -88,7 +107,8 @@
 	recordShortage(shared: SharedConnections, now: number): void {
 		if (now - this.#increasedAt >= increaseIntervalMs && now - this.#refusedAt >= increaseIntervalMs) {
 			this.#increasedAt = now;
-			this.#extra = Math.min(this.#extra + 1, getMaxExtra(shared));
+			this.#extra = Math.min(this.#extra + 1, getMaxExtra(shared, 1));
+			this.#startFraction = Math.min(1, this.#startFraction * startGrowthFactor);
 		}
 	}
 
@@ -98,6 +118,7 @@
 			this.#idleHalvings = Math.min(maxIdleHalvings, this.#getIdleHalvings(now) + 1);
 			this.#refusedAt = now;
 			this.#extra = Math.floor(this.#extra / 2);
+			this.#startFraction = Math.max(initialStartFraction, this.#startFraction / 2);
 		}
 	}
 
@@ -119,6 +140,6 @@
 	return computeEvenShare(shared) >= ampleShare;
 }
 
-function getMaxExtra({capacity, usableFraction}: SharedConnections): number {
+function getMaxExtra({capacity}: SharedConnections, usableFraction: number): number {
 	return Math.max(1, Math.floor(capacity * usableFraction * maxExtraFraction));
 }
--- a/packages/decisions/src/limits/index.ts
+++ b/packages/decisions/src/limits/index.ts
@@ -6,3 +6,5 @@
 export * from './token-issuer.js';
 export * from './sliding-window-counter.js';
 export * from './sliding-window-limiter.js';
+export * from './urgent-reserve.js';
+export * from './usage-rate.js';
--- a/packages/decisions/src/limits/sliding-window-limiter.ts
+++ b/packages/decisions/src/limits/sliding-window-limiter.ts
@@ -59,15 +59,18 @@
 		this.#bucket.setLimit(this.#createBucketLimit(limit, this.#maxPerWindow), now);
 	}
 
-	/** Takes a token for one operation; returns whether the limit allows it. */
-	takeToken(now: number): boolean {
-		if (this.#counter.getCount(now) + 1 > this.#maxPerWindow) {
+	/**
+	 * Takes a token for one operation; returns whether the limit allows it.
+	 * @param reserve - Number of tokens that have to be left.
+	 */
+	takeToken(now: number, reserve = 0): boolean {
+		if (this.#counter.getCount(now) + 1 + reserve > this.#maxPerWindow) {
 			// Under sustained demand the account continues at the average rate of the window, without another burst.
-			this.#bucket.clear(now);
+			this.#bucket.clear(now, reserve);
 			return false;
 		}
 
-		if (!this.#bucket.takeToken(now, 0)) {
+		if (!this.#bucket.takeToken(now, -reserve)) {
 			return false;
 		}
 
@@ -80,9 +83,12 @@
 		return this.#counter.getCount(now) + 1 > this.#maxPerWindow ? 0 : this.#bucket.getFillRatio(now);
 	}
 
-	/** Returns the time until an operation is allowed, in milliseconds. */
-	getWaitMs(now: number): number {
-		return Math.max(this.#bucket.getWaitMs(now), this.#counter.getWaitMs(this.#maxPerWindow - 1, now));
+	/**
+	 * Returns the time until an operation is allowed, in milliseconds.
+	 * @param reserve - Number of tokens that have to be left.
+	 */
+	getWaitMs(now: number, reserve = 0): number {
+		return Math.max(this.#bucket.getWaitMs(now, reserve), this.#counter.getWaitMs(this.#maxPerWindow - 1 - reserve, now));
 	}
 
 	#createBucketLimit({burst}: RateLimit, maxPerWindow: number): RateLimit {
--- a/packages/decisions/src/limits/token-bucket.ts
+++ b/packages/decisions/src/limits/token-bucket.ts
@@ -30,7 +30,7 @@
 
 	/**
 	 * Takes one token.
-	 * @param overdraft - Number of tokens by which the level may fall below zero.
+	 * @param overdraft - Number of tokens by which the level may fall below zero; if negative, the number that have to be left.
 	 * @returns Whether a token was taken.
 	 */
 	takeToken(now: number, overdraft: number): boolean {
@@ -48,10 +48,13 @@
 		this.#tokens = Math.min(this.limit.burst, this.#tokens + count);
 	}
 
-	/** Removes all tokens; a negative level remains negative. */
-	clear(now: number): void {
+	/**
+	 * Removes the tokens; a negative level remains negative.
+	 * @param kept - Number of tokens that are left, if there are as many.
+	 */
+	clear(now: number, kept = 0): void {
 		this.#refill(now);
-		this.#tokens = Math.min(this.#tokens, 0);
+		this.#tokens = Math.min(this.#tokens, kept);
 	}
 
 	/** Returns the tokens as a fraction of the burst. */
@@ -60,10 +63,14 @@
 		return this.limit.burst <= 0 ? 0 : this.#tokens / this.limit.burst;
 	}
 
-	/** Returns the time until a token is available, in milliseconds. */
-	getWaitMs(now: number): number {
+	/**
+	 * Returns the time until a token is available, in milliseconds.
+	 * @param kept - Number of tokens that have to be left.
+	 */
+	getWaitMs(now: number, kept = 0): number {
 		this.#refill(now);
-		return this.#tokens >= 1 || this.limit.ratePerS <= 0 ? 0 : ((1 - this.#tokens) / this.limit.ratePerS) * msPerSecond;
+		const missing = 1 + kept - this.#tokens;
+		return missing <= 0 || this.limit.ratePerS <= 0 ? 0 : (missing / this.limit.ratePerS) * msPerSecond;
 	}
 
 	#refill(now: number): void {
--- a/packages/decisions/src/limits/token-issuer.ts
+++ b/packages/decisions/src/limits/token-issuer.ts
@@ -1,10 +1,14 @@
 import {type RateLimit} from './token-bucket.js';
 import {countAllowedPerWindow, SlidingWindowLimiter} from './sliding-window-limiter.js';
+import {UrgentReserve} from './urgent-reserve.js';
+import {updateUsageRate, type UsageRate} from './usage-rate.js';
 
 /** Tokens of one account that a VM requests. */
 export type TokenDemand = {
 	/** Number of operations waiting for a token. */
 	readonly needed: number;
+	/** Number of the waiting operations that are urgent; undefined counts as none. */
+	readonly urgent: number | undefined;
 	/** Number of tokens requested in advance, to save the next request. */
 	readonly extra: number;
 };
@@ -37,17 +41,13 @@
 /** Minimum fraction of a limit that stays available to VMs that request tokens, however much is reserved for silent ones. */
 const minLimitFraction = 0.3;
 
-/** Time constant of the exponential average of a VM's usage, in milliseconds. */
-const usageTimeConstantMs = 3000;
-
 const msPerSecond = 1000;
 
-type UsageRate = {perSecond: number; updatedAt: number};
-
 type AccountState = {
 	readonly limiter: SlidingWindowLimiter;
 	/** Average rate of tokens granted, by VM. */
 	readonly usageRates: Map<string, UsageRate>;
+	readonly reserve: UrgentReserve;
 };
 
 /** VMs that the issuer does not hear from but that may be running, and then admit operations without requesting tokens. */
@@ -76,7 +76,7 @@
 	constructor(private readonly windowMs: number) {}
 
 	/**
-	 * Grants tokens to a VM: as many of those needed as the limit allows, and then those requested in advance.
+	 * Grants tokens to a VM: as many of those needed as the limit allows, urgent ones first, and then those requested in advance.
 	 * @param silentMembers - VMs that may admit operations without requesting tokens, see {@link countAllowedInIsolation}.
 	 * @param now - Monotonic time in milliseconds.
 	 */
@@ -88,8 +88,15 @@
 			state.limiter.assumePriorUsage(limit, limit.burst * initialBurstFraction, now);
 		}
 
+		const urgent = Math.min(demand.needed, demand.urgent ?? 0);
+		state.reserve.recordUrgent(urgent, now);
 		let count = 0;
-		while (count < demand.needed && state.limiter.takeToken(now)) {
+		while (count < urgent && state.limiter.takeToken(now)) {
+			count += 1;
+		}
+
+		const reserve = state.reserve.getReserve(limit.burst, now);
+		while (count >= urgent && count < demand.needed && state.limiter.takeToken(now, reserve)) {
 			count += 1;
 		}
 
@@ -99,8 +106,8 @@
 			count += 1;
 		}
 
-		recordUsage(state.usageRates, vm, count, now);
-		return {count, waitMs: isShort ? Math.max(1, state.limiter.getWaitMs(now)) : 0};
+		state.usageRates.set(vm, updateUsageRate(state.usageRates.get(vm), count, now));
+		return {count, waitMs: isShort ? Math.max(1, state.limiter.getWaitMs(now, count < urgent ? 0 : reserve)) : 0};
 	}
 
 	/** Discards the recorded usage of a VM whose process restarted. */
@@ -111,7 +118,7 @@
 	}
 
 	#addAccount(account: string, limit: RateLimit, now: number): AccountState {
-		const state = {limiter: new SlidingWindowLimiter(limit, this.windowMs, now), usageRates: new Map<string, UsageRate>()};
+		const state = {limiter: new SlidingWindowLimiter(limit, this.windowMs, now), usageRates: new Map<string, UsageRate>(), reserve: new UrgentReserve()};
 		this.#accounts.set(account, state);
 		return state;
 	}
@@ -126,10 +133,3 @@
 		return reserved;
 	}
 }
-
-/** Adds operations to the exponential average of a key. */
-export function recordUsage(usageRates: Map<string, UsageRate>, key: string, count: number, now: number): void {
-	const rate = usageRates.get(key) ?? {perSecond: 0, updatedAt: now};
-	const decay = Math.exp(-(now - rate.updatedAt) / usageTimeConstantMs);
-	usageRates.set(key, {perSecond: (rate.perSecond * decay) + ((count * msPerSecond) / usageTimeConstantMs), updatedAt: now});
-}
--- a/packages/decisions/src/tests/connections/simulate-shared-connections.ts
+++ b/packages/decisions/src/tests/connections/simulate-shared-connections.ts
@@ -10,13 +10,15 @@
 	readonly transactionMs: number;
 	readonly statementMs: number;
 	readonly durationMs: number;
+	/** Connections of VMs that lost power, which the instance counts until a time in milliseconds; none if absent. */
+	readonly stale?: {readonly count: number; readonly untilMs: number};
 	/** Returns a random number, at least zero and less than one. */
 	getRandom(): number;
 };
 
 /** How a VM limits its connections. */
 export type ConnectionPolicy = {
-	getLimit(): number;
+	getLimit(now: number): number;
 	getIdleTimeoutMs(now: number): number;
 	recordOpening(now: number): void;
 	recordShortage(now: number): void;
@@ -54,6 +56,7 @@
 		policy: createPolicy(), connections: [], queue: [], retryAt: 0,
 	}));
 	const countOpen = () => vms.reduce((sum, vm) => sum + vm.connections.length, 0);
+	const countStale = (now: number) => load.stale !== undefined && now < load.stale.untilMs ? load.stale.count : 0;
 
 	const startOperation = (operation: Operation, connection: Connection, now: number, openMs: number) => {
 		connection.busyUntil = now + openMs + operation.holdMs;
@@ -63,7 +66,7 @@
 
 	/** Starts an operation on a new connection if the VM may open one and the instance accepts it. */
 	const tryOpen = (vm: Vm, operation: Operation, now: number): boolean => {
-		const isAtLimit = vm.connections.length >= vm.policy.getLimit();
+		const isAtLimit = vm.connections.length >= vm.policy.getLimit(now);
 		const evictable = isAtLimit ? vm.connections.find(connection => connection.busyUntil <= now) : undefined;
 		if (now < vm.retryAt || (isAtLimit && evictable === undefined)) {
 			vm.policy.recordShortage(now);
@@ -71,7 +74,7 @@
 		}
 
 		vm.connections = vm.connections.filter(connection => connection !== evictable);
-		if (countOpen() >= load.capacity) {
+		if (countOpen() + countStale(now) >= load.capacity) {
 			result.refusedConnections += 1;
 			vm.retryAt = now + refusalBackoffMs;
 			vm.policy.recordRefusal(now);
--- a/packages/decisions/src/tests/limits/token-issuer.test.ts
+++ b/packages/decisions/src/tests/limits/token-issuer.test.ts
@@ -4,9 +4,9 @@
 
 const limit = {ratePerS: 20, burst: 20};
 
-function requestTokens(issuer: TokenIssuer, vm: string, now: number, {needed = 1, extra = 0, silent = [] as string[]} = {}) {
+function requestTokens(issuer: TokenIssuer, vm: string, now: number, {needed = 1, urgent = 0, extra = 0, silent = [] as string[]} = {}) {
 	return issuer.grantTokens({
-		vm, account: 'agency', demand: {needed, extra}, limit,
+		vm, account: 'agency', demand: {needed, urgent, extra}, limit,
 	}, {silent, members: 5}, now);
 }
 
@@ -54,7 +54,7 @@
 	let granted = 0;
 	for (let now = 10_000; now < 15_000; now += 10) {
 		granted += issuer.grantTokens({
-			vm: 'vm1', account: 'agency', demand: {needed: 5, extra: 0}, limit,
+			vm: 'vm1', account: 'agency', demand: {needed: 5, urgent: 0, extra: 0}, limit,
 		}, {silent, members}, now).count;
 	}
 
@@ -66,14 +66,14 @@
 
 test('no window exceeds the bound, whatever the VMs request', t => {
 	fc.assert(fc.property(fc.array(fc.record({
-		gapMs: fc.integer({min: 0, max: 400}), vm: fc.integer({min: 1, max: 5}), needed: fc.integer({min: 1, max: 30}), extra: fc.integer({min: 0, max: 10}),
+		gapMs: fc.integer({min: 0, max: 400}), vm: fc.integer({min: 1, max: 5}), needed: fc.integer({min: 1, max: 30}), urgent: fc.integer({min: 0, max: 30}), extra: fc.integer({min: 0, max: 10}),
 	}), {minLength: 20, maxLength: 200}), requests => {
 		const issuer = new TokenIssuer(5000);
 		const granted: Array<{at: number; count: number}> = [];
 		let now = 0;
-		for (const {gapMs, vm, needed, extra} of requests) {
+		for (const {gapMs, vm, needed, urgent, extra} of requests) {
 			now += gapMs;
-			granted.push({at: now, count: requestTokens(issuer, `vm${vm}`, now, {needed, extra}).count});
+			granted.push({at: now, count: requestTokens(issuer, `vm${vm}`, now, {needed, urgent, extra}).count});
 		}
 
 		for (const {at} of granted) {
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -1,8 +1,8 @@
 import {
-	FairQueue, type Priority, type QueueEntry, type SharedConnections, WaitEstimator,
+	FairQueue, type QueueEntry, type SharedConnections, WaitEstimator,
 } from '@chicorysaddle/decisions';
 import {type Refusal, refusals} from '@chicorysaddle/model';
-import {type ConfigurationView} from '../configuration/index.js';
+import {getPriorityClass, type ConfigurationView} from '../configuration/index.js';
 import {type Instance, type InstanceRegistry} from '../instances/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type AdjustableSettingsSource, type Clock, type InstanceConnector} from '../ports/index.js';
@@ -52,9 +52,6 @@
 /** Time for which an instance still counts the connections of a VM that lost power, in milliseconds. */
 const staleConnectionTimeoutMs = 3000;
 
-/** Fraction of its connection limit that a new process uses while the instance may still count its predecessor's connections, which take up to `keptIdleFraction` even if they were idle. */
-const startupFraction = 0.2;
-
 /** Minimum time between the loss of the primary by this VM and an answer to another VM that proves a partition, in milliseconds: longer than an answer takes. */
 const partitionConfirmationMs = 200;
 
@@ -73,8 +70,6 @@
 /** Maximum time until a VM knows that an instance is draining, including the transit of its last statement, in milliseconds. */
 const drainPropagationMs = 2500;
 
-const queuePriorities: readonly Priority[] = ['high', 'high', 'normal'];
-
 /** Dependencies of a dispatcher. */
 export type DispatcherDependencies = {
 	readonly configuration: ConfigurationView;
@@ -262,7 +257,7 @@
 
 		this.#waiters.get(request.group)!.add(waiter);
 		queue.addEntry({
-			account: request.account, priority: queuePriorities[request.priority] ?? 'low', weight: 1, deadline: request.deadline, value: waiter,
+			account: request.account, priority: getPriorityClass(request.priority), weight: 1, deadline: request.deadline, value: waiter,
 		});
 		this.#waiterCheckTimer ??= setTimeout(() => {
 			this.#checkWaiters();
@@ -468,11 +463,10 @@
 	}
 
 	#getSharedConnections({instance}: InstancePool): SharedConnections {
-		const isStartingUp = this.dependencies.clock.now() - this.#startedAt < staleConnectionTimeoutMs;
 		return {
 			capacity: this.dependencies.configuration.getGroup(instance.group)?.maxConnections ?? 1,
 			vms: this.#memberCount,
-			usableFraction: isStartingUp ? startupFraction : 1,
+			isStarting: this.dependencies.clock.now() - this.#startedAt < staleConnectionTimeoutMs,
 		};
 	}
 
--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -1,5 +1,5 @@
 import {
-	countAllowedInIsolation, SlidingWindowCounter, type TokenGrant, type TokenDemand,
+	countAllowedInIsolation, SlidingWindowCounter, type TokenGrant, type TokenDemand, UrgentReserve,
 } from '@chicorysaddle/decisions';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
@@ -25,17 +25,24 @@
 
 const msPerSecond = 1000;
 
-/** Resolves a waiting operation with the time after which to retry, in milliseconds; 0 admits it. */
-type Waiter = (waitMs: number) => void;
+/** An operation that waits for a token. */
+type Waiter = {
+	readonly isUrgent: boolean;
+	/** Resolves it with the time after which to retry, in milliseconds; 0 admits it. */
+	readonly settle: (waitMs: number) => void;
+};
 
 type AccountState = {
 	availableTokens: number;
 	/** Monotonic time at which the available tokens expire, in milliseconds. */
 	tokensExpireAt: number;
-	/** Monotonic time until which operations without a token are rejected, in milliseconds. */
+	/** Monotonic time until which operations without a token are rejected, in milliseconds; for urgent ones, and for the others. */
+	urgentRejectedUntil: number;
 	rejectedUntil: number;
 	isRequestPending: boolean;
 	waiters: Waiter[];
+	/** Tokens kept for urgent operations while this VM enforces its limit alone. */
+	readonly reserve: UrgentReserve;
 	/** Operations admitted by this VM in the sliding window. */
 	readonly usage: SlidingWindowCounter;
 	/** Operations per window that this VM admits while the coordinator does not respond; undefined while it responds, or before it is computed. */
@@ -81,9 +88,10 @@
 
 	/**
 	 * Acquires a token for one operation.
+	 * @param isUrgent - Whether the operation is preferred when the account exceeds its limit.
 	 * @returns 0 if the operation is admitted, otherwise the time after which to retry, in milliseconds.
 	 */
-	async acquireToken(account: string): Promise<number> {
+	async acquireToken(account: string, isUrgent: boolean): Promise<number> {
 		const now = this.clock.now();
 		const state = this.#getState(account);
 		if (state.availableTokens > 0 && now < state.tokensExpireAt) {
@@ -93,12 +101,13 @@
 		}
 
 		state.availableTokens = 0;
-		if (now < state.rejectedUntil) {
-			return state.rejectedUntil - now;
+		const rejectedUntil = isUrgent ? state.urgentRejectedUntil : state.rejectedUntil;
+		if (now < rejectedUntil) {
+			return rejectedUntil - now;
 		}
 
 		return new Promise(resolve => {
-			state.waiters.push(resolve);
+			state.waiters.push({isUrgent, settle: resolve});
 			this.#scheduleTokenRequest();
 		});
 	}
@@ -143,8 +152,9 @@
 		for (const [account, state] of this.#accounts) {
 			if (state.waiters.length > 0 && !state.isRequestPending) {
 				state.isRequestPending = true;
-				waitersByAccount.set(account, state.waiters);
-				demands[account] = {needed: state.waiters.length, extra: Math.floor(state.usage.getCount(now) * prefetchFraction)};
+				const urgent = state.waiters.filter(({isUrgent}) => isUrgent);
+				waitersByAccount.set(account, [...urgent, ...state.waiters.filter(({isUrgent}) => !isUrgent)]);
+				demands[account] = {needed: state.waiters.length, urgent: urgent.length === 0 ? undefined : urgent.length, extra: Math.floor(state.usage.getCount(now) * prefetchFraction)};
 				state.waiters = [];
 			}
 		}
@@ -170,6 +180,7 @@
 		}
 	}
 
+	/** @param waiters - The waiting operations, urgent ones first. */
 	#applyGrant(account: string, state: AccountState, waiters: readonly Waiter[], grant: TokenGrant): void {
 		const now = this.clock.now();
 		state.localLimit = undefined;
@@ -178,7 +189,7 @@
 			this.#localModeSince = undefined;
 		}
 
-		for (const [index, settle] of waiters.entries()) {
+		for (const [index, {settle}] of waiters.entries()) {
 			if (index < grant.count) {
 				state.usage.add(1, now);
 				settle(0);
@@ -191,6 +202,7 @@
 		state.tokensExpireAt = now + prefetchedTokenLifetimeMs;
 		if (grant.waitMs > 0) {
 			state.rejectedUntil = now + Math.min(maxRejectionCacheMs, grant.waitMs);
+			state.urgentRejectedUntil = waiters[grant.count]?.isUrgent === true ? state.rejectedUntil : state.urgentRejectedUntil;
 		}
 	}
 
@@ -204,7 +216,7 @@
 
 		if (this.#memberCount === undefined) {
 			// Without members there are no terms, and no statement runs, so admitting these operations does not exceed the limit.
-			for (const settle of waiters) {
+			for (const {settle} of waiters) {
 				state.usage.add(1, now);
 				settle(0);
 			}
@@ -214,12 +226,14 @@
 
 		state.localLimit ??= this.#computeLocalLimit(account, this.#memberCount, state, now);
 		const maxUsage = Math.max(1, state.localLimit * this.#getUsableFraction(now));
-		for (const settle of waiters) {
-			if (state.usage.getCount(now) + 1 <= maxUsage) {
+		state.reserve.recordUrgent(waiters.filter(({isUrgent}) => isUrgent).length, now);
+		for (const {isUrgent, settle} of waiters) {
+			const usableCount = maxUsage - 1 - (isUrgent ? 0 : state.reserve.getReserve(maxUsage, now));
+			if (state.usage.getCount(now) <= usableCount) {
 				state.usage.add(1, now);
 				settle(0);
 			} else {
-				settle(state.usage.getWaitMs(maxUsage - 1, now));
+				settle(state.usage.getWaitMs(usableCount, now));
 			}
 		}
 	}
@@ -240,7 +254,7 @@
 		let state = this.#accounts.get(account);
 		if (state === undefined) {
 			state = {
-				availableTokens: 0, tokensExpireAt: 0, rejectedUntil: 0, isRequestPending: false, waiters: [], usage: new SlidingWindowCounter(this.getSettings().limitWindowMs), localLimit: undefined,
+				availableTokens: 0, tokensExpireAt: 0, urgentRejectedUntil: 0, rejectedUntil: 0, isRequestPending: false, waiters: [], reserve: new UrgentReserve(), usage: new SlidingWindowCounter(this.getSettings().limitWindowMs), localLimit: undefined,
 			};
 			this.#accounts.set(account, state);
 		}
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -1,5 +1,5 @@
 import {refusals, type LogPosition, type Refusal} from '@chicorysaddle/model';
-import {type ClientAccount} from '../configuration/index.js';
+import {getPriorityClass, type ClientAccount} from '../configuration/index.js';
 import {type PreparedStatement, type SessionValues} from '../dispatch/index.js';
 import {type CallerConnection} from '../ports/index.js';
 import {type SessionState, type StatementKind, type StatementRequest} from '../statements/index.js';
@@ -340,7 +340,7 @@
 			return {kind: 'refused', refusal: refusals.unknownKey(), isFinal: true};
 		}
 
-		const waitMs = await this.#acquireToken(account);
+		const waitMs = await this.#acquireToken(account, getPriorityClass(route.priority) === 'high');
 		if (waitMs > 0) {
 			return {kind: 'refused', refusal: refusals.overLimit(account, Math.ceil(waitMs), this.dependencies.limiter.formatLimit(account)), isFinal: false};
 		}
@@ -353,8 +353,8 @@
 	}
 
 	/** Acquires an operation from the rate limit of an account, if it has one; returns the time after which to retry, in milliseconds, zero if the operation is admitted. */
-	async #acquireToken(account: string): Promise<number> {
-		return this.dependencies.configuration.getAccount(account) === undefined ? 0 : this.dependencies.limiter.acquireToken(account);
+	async #acquireToken(account: string, isUrgent: boolean): Promise<number> {
+		return this.dependencies.configuration.getAccount(account) === undefined ? 0 : this.dependencies.limiter.acquireToken(account, isUrgent);
 	}
 
 	/** Releases an operation that no instance ran, so that it does not count against the rate limit of its account. */
--- a/packages/protocol/src/coordination/messages.ts
+++ b/packages/protocol/src/coordination/messages.ts
@@ -135,9 +135,9 @@
 	coordinator: optional(string),
 });
 
-/** Codec of a request for rate limit tokens by account: `needed` for waiting operations, `extra` for those expected soon. */
+/** Codec of a request for rate limit tokens by account: `needed` for waiting operations, of which `urgent` are urgent, and `extra` for those expected soon. */
 export const tokenRequestCodec = Codec.interface({
-	kind: exactly('token-request'), vm: string, sequence: number, wants: record(string, Codec.interface({needed: number, extra: number})),
+	kind: exactly('token-request'), vm: string, sequence: number, wants: record(string, Codec.interface({needed: number, urgent: optional(number), extra: number})),
 });
 
 /** Codec of a response with rate limit tokens by account, and the time until there are more, in milliseconds. */
