Errors: one bad message or failed task ends one connection, not the process

Can happen here: an error thrown by the handler of a peer's or a caller's message, or a rejection that nothing handled, ended the process; after an invalid message of a caller the rest of the same chunk was still run (a write after HELLO ran); after an over-long complete line the reader kept its buffer. Change: links and caller connections end by themselves and are logged (peer.failed, session.failed); FailureBudget lets a serving process go on after ten unexpected errors in 10 s (task.failed) and then exit; what follows a rejection or an over-long line is ignored.

--- a/packages/decisions/src/retries/index.ts
+++ b/packages/decisions/src/retries/index.ts
@@ -1,3 +1,4 @@
 export * from './retry-table.js';
 export * from './retry-budget.js';
 export * from './backoff.js';
+export * from './failure-budget.js';
--- a/packages/gateway/src/coordination/tcp-peer-network.ts
+++ b/packages/gateway/src/coordination/tcp-peer-network.ts
@@ -7,12 +7,15 @@
 /** Maximum length of a line between VMs, in characters; it fits a configuration with thousands of routes. */
 const maxLineLength = 16_777_216;
 
-/** Connection between two VMs with one JSON message per line; closes itself when a line is too long. */
+/** Reports an error that closed the link to another VM. */
+export type PeerErrorReporter = (error: Error) => void;
+
+/** Connection between two VMs with one JSON message per line; closes itself when a line is too long, or its handler fails. */
 class LinePeerLink implements PeerLink {
 	#buffer = '';
 	#isOpen = true;
 
-	constructor(private readonly socket: Socket, private readonly getHandlers: () => PeerHandlers) {
+	constructor(private readonly socket: Socket, private readonly getHandlers: () => PeerHandlers, private readonly reportError: PeerErrorReporter) {
 		socket.setNoDelay(true);
 		socket.setEncoding('utf8');
 		socket.on('data', (chunk: string) => {
@@ -45,16 +48,30 @@
 	#handleData(chunk: string): void {
 		this.#buffer += chunk;
 		if (this.#buffer.length > maxLineLength) {
-			this.close();
+			this.#fail(new Error(`a line of more than ${maxLineLength} characters`));
 			return;
 		}
 
-		for (let end = this.#buffer.indexOf('\n'); end !== -1; end = this.#buffer.indexOf('\n')) {
+		for (let end = this.#buffer.indexOf('\n'); this.#isOpen && end !== -1; end = this.#buffer.indexOf('\n')) {
 			const line = this.#buffer.slice(0, end);
 			this.#buffer = this.#buffer.slice(end + 1);
+			this.#handleLine(line);
+		}
+	}
+
+	#handleLine(line: string): void {
+		try {
 			this.getHandlers().onMessage(parsePeerMessage(line));
+		} catch (error) {
+			this.#fail(error instanceof Error ? error : new Error(String(error)));
 		}
 	}
+
+	#fail(error: Error): void {
+		this.reportError(error);
+		this.#buffer = '';
+		this.close();
+	}
 }
 
 /** Host and port of a TCP listener. */
@@ -69,15 +86,24 @@
 	return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))};
 }
 
+/** Server of a TCP network. */
+export type TcpPeerServer = PeerServer & {
+	/** Port that the server is bound to. */
+	readonly port: number;
+};
+
 /** Connects VMs over TCP. */
 export class TcpPeerNetwork implements PeerNetwork {
+	/** @param reportError - Called with an error that closed a link; other links go on. */
+	constructor(private readonly reportError: PeerErrorReporter) {}
+
 	connect(address: string, handlers: PeerHandlers): PeerLink {
-		return new LinePeerLink(createConnection(parseSocketAddress(address)), () => handlers);
+		return new LinePeerLink(createConnection(parseSocketAddress(address)), () => handlers, this.reportError);
 	}
 
-	async listen(address: string, accept: (link: PeerLink) => PeerHandlers): Promise<PeerServer> {
+	async listen(address: string, accept: (link: PeerLink) => PeerHandlers): Promise<TcpPeerServer> {
 		const server = createServer(socket => {
-			const link: PeerLink = new LinePeerLink(socket, () => handlers);
+			const link: PeerLink = new LinePeerLink(socket, () => handlers, this.reportError);
 			const handlers = accept(link);
 		});
 		const {host, port} = parseSocketAddress(address);
@@ -88,7 +114,9 @@
 				resolve();
 			});
 		});
+		const bound = server.address();
 		return {
+			port: typeof bound === 'object' && bound !== null ? bound.port : port,
 			close() {
 				server.close();
 			},
--- /dev/null
+++ b/packages/gateway/src/tests/coordination/tcp-peer-network.test.ts
@@ -0,0 +1,64 @@
+import {createConnection} from 'node:net';
+import test from 'ava';
+import {formatPeerMessage} from '@chicorysaddle/protocol/coordination';
+import {TcpPeerNetwork} from '../../coordination/index.js';
+
+const address = '127.0.0.1:0';
+const validLine = formatPeerMessage({kind: 'acceptance', vm: 'vm1', address});
+
+/** Listens with a handler of messages; returns the kinds of the messages received, the errors reported, and a function that sends text over a link of its own and waits until it is closed. */
+async function listen(onMessage: (kind: string) => void) {
+	const received: string[] = [];
+	const errors: unknown[] = [];
+	const network = new TcpPeerNetwork(error => {
+		errors.push(error);
+	});
+	const server = await network.listen(address, () => ({
+		onMessage(message) {
+			received.push(message.kind);
+			onMessage(message.kind);
+		},
+		onClosed() {
+			// The test looks at the socket.
+		},
+	}));
+	const sendText = async (text: string) => new Promise<void>(resolve => {
+		const socket = createConnection(server.port, '127.0.0.1', () => {
+			socket.end(text);
+		});
+		socket.on('error', () => {
+			// The close event follows.
+		});
+		socket.on('close', () => {
+			resolve();
+		});
+		socket.resume();
+	});
+	return {
+		received, errors, sendText, server,
+	};
+}
+
+test('an error in the handler of one message closes its link, and other links go on', async t => {
+	let isFailing = true;
+	const {received, errors, sendText, server} = await listen(() => {
+		if (isFailing) {
+			throw new TypeError('unexpected field');
+		}
+	});
+	await sendText(validLine + validLine);
+	t.is(errors.length, 1);
+	t.deepEqual(received, ['acceptance']);
+	isFailing = false;
+	await sendText(validLine);
+	t.deepEqual(received, ['acceptance', 'acceptance']);
+	server.close();
+});
+
+test('a line that is too long closes its link and is reported', async t => {
+	const {received, errors, sendText, server} = await listen(() => undefined);
+	await sendText('x'.repeat(17_000_000));
+	t.is(errors.length, 1);
+	t.deepEqual(received, []);
+	server.close();
+});
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -13,6 +13,9 @@
 	'process.failed': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an error ends the process', fields: {error: 'string'},
 	},
+	'task.failed': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an unexpected error ended one task; the process goes on', fields: {error: 'string'},
+	},
 	'metrics.unavailable': {
 		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'metrics cannot be served; callers are served nevertheless', fields: {address: 'string', reason: 'string'},
 	},
@@ -97,6 +100,9 @@
 	'peer.invalid': {
 		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'a message from another VM cannot be parsed; its connection is closed', fields: {reason: 'string'},
 	},
+	'peer.failed': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'a message from another VM caused an error or is too long; its connection is closed', fields: {error: 'string'},
+	},
 	'peer.unexpected': {
 		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'a message arrived that is not meant for this VM; it is ignored', fields: {message: 'string'},
 	},
@@ -142,6 +148,9 @@
 			connection: 'string', database: 'string', kind: 'string', configuration: 'number',
 		},
 	},
+	'session.failed': {
+		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'an unexpected error ended a caller\'s connection; others go on', fields: {connection: 'string', error: 'string'},
+	},
 	'session.error': {
 		importance: 'state', scope: 'request', isPossibleCause: false, description: 'an internal error occurred while a statement was handled', fields: {connection: 'string?', request: 'string', error: 'string'},
 	},
