Coordinator: after a restart it takes its own lease without delay, and calls the VMs that wait for it

Change: no election delay for the lease of an earlier process of the same VM; VMs that sent it a heartbeat are asked for another one as soon as it holds the lease.

--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -84,6 +84,8 @@
 /** Membership of this VM in the cluster: exchanges heartbeats and reports with the coordinator, or acts as the coordinator. */
 export class ClusterMember {
 	#server: PeerServer | undefined;
+	/** Links of VMs that sent a heartbeat while this VM was not the coordinator. */
+	readonly #expectantLinks = new Set<PeerLink>();
 	#timer: NodeJS.Timeout | undefined;
 	#link: PeerLink | undefined;
 	#linkAddress = '';
@@ -164,8 +166,9 @@
 			onMessage: message => {
 				this.#handlePeerMessage(link, message);
 			},
-			onClosed() {
+			onClosed: () => {
 				// The peer opens another link for its next heartbeat.
+				this.#expectantLinks.delete(link);
 			},
 		}));
 		this.#scheduleTick();
@@ -362,6 +365,7 @@
 
 	#handleHeartbeat(link: PeerLink, heartbeat: Heartbeat | HeartbeatDelta): void {
 		if (!this.dependencies.coordinatorLease.isHeld()) {
+			this.#expectantLinks.add(link);
 			link.send({kind: 'not-coordinator', coordinator: this.#coordinatorHint ?? this.#coordinatorRow?.address});
 			return;
 		}
@@ -410,6 +414,12 @@
 	#beginCoordinating({members}: SharedState): void {
 		this.dependencies.coordinator.setRegisteredMembers(members);
 		this.#publishInstances();
+		// VMs that took this one for the coordinator already need not wait for their next heartbeat.
+		for (const link of this.#expectantLinks) {
+			link.send({kind: 'heartbeat-request'});
+		}
+
+		this.#expectantLinks.clear();
 	}
 
 	#sendConfiguration(link: PeerLink | undefined): void {
--- a/packages/gateway/src/coordination/coordinator-lease.ts
+++ b/packages/gateway/src/coordination/coordinator-lease.ts
@@ -118,8 +118,12 @@
 			return true;
 		}
 
-		const isPredecessor = isCurrent && row.holder === this.identity.vm && row.incarnation !== this.identity.incarnation;
-		return isPredecessor || (this.#observedVersion!.version === row.version && this.clock.now() - this.#observedVersion!.at > leaseDurationMs + takeOverMarginMs);
+		return this.isHeldByPredecessor(row) || (this.#observedVersion!.version === row.version && this.clock.now() - this.#observedVersion!.at > leaseDurationMs + takeOverMarginMs);
+	}
+
+	/** Returns whether the row names an earlier process of this VM, so that no other VM may acquire the lease before it expires. */
+	isHeldByPredecessor(row: CoordinatorRow | undefined): boolean {
+		return row !== undefined && !isRestored(row) && row.holder === this.identity.vm && row.incarnation !== this.identity.incarnation;
 	}
 
 	/** Tries to acquire the lease with the next fencing token; returns whether it succeeded. */
--- a/packages/gateway/src/coordination/store-membership.ts
+++ b/packages/gateway/src/coordination/store-membership.ts
@@ -211,7 +211,7 @@
 
 	#canAcquireLease(row: CoordinatorRow | undefined): boolean {
 		const {coordinatorLease, clock} = this.dependencies;
-		return !this.#isLeaving && clock.now() >= this.#ineligibleUntil && !coordinatorLease.isHeld() && coordinatorLease.isVacant(row) && this.#hasElectionDelayPassed();
+		return !this.#isLeaving && clock.now() >= this.#ineligibleUntil && !coordinatorLease.isHeld() && coordinatorLease.isVacant(row) && (coordinatorLease.isHeldByPredecessor(row) || this.#hasElectionDelayPassed());
 	}
 
 	/** Returns whether this VM has waited long enough to acquire the vacant lease; VMs with more capacity wait less, since the coordinator serves all others. */
--- a/packages/gateway/src/tests/fakes/test-cluster.ts
+++ b/packages/gateway/src/tests/fakes/test-cluster.ts
@@ -133,6 +133,8 @@
 	readonly gateways = new Map<string, WiredGateway>();
 	readonly connectors = new Map<string, FakeConnector>();
 	readonly log = new LogSink();
+	/** Capacity of every VM, between 0 and 1. */
+	capacity = 1;
 	#callerCount = 0;
 	#startedVms = 0;
 
@@ -161,7 +163,7 @@
 			vm, zone: 'a', incarnation: `run-${this.#startedVms}`, peerAddress: `${vm}:1`,
 		}, {
 			clock: this.time, store: new FakeStoreClient(vm, this.store), connector, promotion: this.database, network: new FakeNetwork(vm, this.network), getSettings: () => ({
-				drainMs: 7000, limitWindowMs: 5000, capacity: 1, seeds: this.vms.map(name => `${name}:1`),
+				drainMs: 7000, limitWindowMs: 5000, capacity: this.capacity, seeds: this.vms.map(name => `${name}:1`),
 			}), logOutput: this.log,
 		});
 		this.gateways.set(vm, gateway);
