Proxy: a failed promotion is logged and tried again, and an unexpected error does not end the process

Can happen here: GroupRegistry never left its state of promoting when a promotion threw, so the group was not promoted again; the rejection, which nothing handled, ended the process.

--- a/packages/proxy/src/groups/group-registry.ts
+++ b/packages/proxy/src/groups/group-registry.ts
@@ -114,7 +114,7 @@
 
 		this.#promotingGroups.add(name);
 		group.detector.recordPromotionStarted(now);
-		await this.promoter.promoteGroup(group);
+		await this.promoter.tryPromoteGroup(group);
 		this.#promotingGroups.delete(name);
 	}
 }
--- a/packages/proxy/src/groups/promoter.ts
+++ b/packages/proxy/src/groups/promoter.ts
@@ -27,6 +27,15 @@
 	 */
 	constructor(private readonly id: string, private readonly table: Table, private readonly clock: Clock, private readonly logger: Logger, private readonly metrics: Metrics) {}
 
+	/** Makes one attempt to promote an instance; an unexpected error is logged, and the next attempt may succeed. */
+	async tryPromoteGroup(group: Group): Promise<void> {
+		try {
+			await this.promoteGroup(group);
+		} catch (error) {
+			this.logger.error('promotion failed', {group: group.state.name, error: String(error)});
+		}
+	}
+
 	/**
 	 * Makes one attempt to promote an instance.
 	 * The table decides which promoter owns the term. If the table does not answer, a majority of the
