Errors: an error outside the handling of a message ends the process again

Kept: errors while a message of a caller or another VM is handled end that connection; a failed promotion of the proxy is tried again. A group that is being dispatched when an error is thrown is dispatched again.

--- a/packages/decisions/src/retries/index.ts
+++ b/packages/decisions/src/retries/index.ts
@@ -1,4 +1,3 @@
 export * from './retry-table.js';
 export * from './retry-budget.js';
 export * from './backoff.js';
-export * from './failure-budget.js';
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -277,12 +277,15 @@
 			return;
 		}
 
-		do {
-			this.#dispatchingGroups.set(group, false);
-			this.#placeWaiters(group);
-		} while (this.#dispatchingGroups.get(group));
-
-		this.#dispatchingGroups.delete(group);
+		try {
+			do {
+				this.#dispatchingGroups.set(group, false);
+				this.#placeWaiters(group);
+			} while (this.#dispatchingGroups.get(group));
+		} finally {
+			// A group that stays marked would never be dispatched again.
+			this.#dispatchingGroups.delete(group);
+		}
 	}
 
 	#placeWaiters(group: string): void {
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -1,4 +1,4 @@
-import {FailureBudget, TransactionReservation} from '@chicorysaddle/decisions';
+import {TransactionReservation} from '@chicorysaddle/decisions';
 import {ConfigurationWatcher, ConfigurationView} from '../configuration/index.js';
 import {
 	ClusterMember, Coordinator, CoordinatorLease, type GatewayIdentity, MemberRegistrar, Promoter, StoreRecovery,
@@ -34,8 +34,6 @@
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
 	readonly terms: TermRegistry;
-	/** Decides whether the process goes on after an unexpected error. */
-	readonly failures: FailureBudget;
 };
 
 /** Creates a gateway and all its parts; the composition root of the package. */
@@ -76,6 +74,6 @@
 		configuration, dispatcher, limiter, reservation: new TransactionReservation(), terms, clock, log, metrics,
 	};
 	return {
-		gateway: new Gateway(sessionDependencies, instances, configurationWatcher, instanceWatcher, member), log, metrics, terms, failures: new FailureBudget(),
+		gateway: new Gateway(sessionDependencies, instances, configurationWatcher, instanceWatcher, member), log, metrics, terms,
 	};
 }
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -13,9 +13,6 @@
 	'process.failed': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an error ends the process', fields: {error: 'string'},
 	},
-	'task.failed': {
-		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an unexpected error ended one task; the process goes on', fields: {error: 'string'},
-	},
 	'metrics.unavailable': {
 		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'metrics cannot be served; callers are served nevertheless', fields: {address: 'string', reason: 'string'},
 	},
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -3,7 +3,7 @@
 import {formatSettingsReference, loadSettings, type Settings} from './settings/index.js';
 import {Proxy} from './wiring/index.js';
 
-const exitCodes = {success: 0, unexpectedError: 1, invalidSettings: 2} as const;
+const exitCodes = {success: 0, invalidSettings: 2} as const;
 
 async function runProxy(settings: Settings): Promise<void> {
 	const proxy = await Proxy.start(settings);
@@ -13,12 +13,6 @@
 		});
 	};
 
-	// Rejections that nothing handles arrive here too.
-	process.on('uncaughtException', error => {
-		if (!proxy.recordUnexpectedError(error)) {
-			process.exit(exitCodes.unexpectedError);
-		}
-	});
 	process.once('SIGTERM', drainAndExit);
 	process.once('SIGINT', drainAndExit);
 }
--- a/packages/proxy/src/wiring/proxy.ts
+++ b/packages/proxy/src/wiring/proxy.ts
@@ -1,6 +1,6 @@
 import {type Container} from 'inversify';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
-import {FailureBudget, FreshnessTracker} from '@chicorysaddle/decisions';
+import {FreshnessTracker} from '@chicorysaddle/decisions';
 import {PlatformClient} from '@chicorysaddle/store';
 import {CallerAuthenticator} from '../access/index.js';
 import {ConfigurationReplica} from '../configuration/index.js';
@@ -33,7 +33,6 @@
 	readonly #listeners: Listeners;
 	readonly #tasks: RepeatedTask[] = [];
 	readonly #container: Container;
-	readonly #failures = new FailureBudget();
 	#isClosed = false;
 
 	private constructor(private readonly settings: Settings, listeners: Listeners) {
@@ -71,13 +70,6 @@
 		return !this.#getService(Membership).isDraining && areAllocatorsAvailable && this.#getService(CallerAuthenticator).checkIdentity({account: '', keyHash: ''}).isRight() && this.#getService(ConfigurationReplica).version > 0 && this.#getService(GroupRegistry).areAllInstancesProbed;
 	}
 
-	/** Logs an unexpected error; returns whether the process may go on. */
-	recordUnexpectedError(error: unknown): boolean {
-		const mayContinue = this.#failures.recordFailure(this.#container.get(serviceIdentifiers.clock).getNow());
-		this.#getService(Logger).error('unexpected error', {error: error instanceof Error ? error.stack ?? error.message : String(error), mayContinue});
-		return mayContinue;
-	}
-
 	/** Reports unready, waits for the transactions and requests in flight, returns the shares of limits and the leases, and closes the proxy. */
 	async drain(): Promise<void> {
 		const {timeouts} = this.settings;
