--- a/packages/gateway/src/sessions/session-dependencies.ts
+++ b/packages/gateway/src/sessions/session-dependencies.ts
@@ -11,7 +11,7 @@
 	readonly configuration: ConfigurationView;
 	readonly dispatcher: Dispatcher;
 	readonly limiter: AccountLimiter;
-	readonly reservation: TransactionReservation;
+	readonly transactionReservation: TransactionReservation;
 	readonly terms: TermRegistry;
 	readonly clock: Clock;
 	readonly log: EventLog;
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -71,9 +71,9 @@
 
 	/** Reserves a connection before the first statement arrives, unless other statements wait for one. */
 	reserveConnection(): void {
-		const {dispatcher, reservation} = this.dependencies;
+		const {dispatcher, transactionReservation} = this.dependencies;
 		const {group, statementTimeoutMs} = this.operation.route;
-		if (reservation.canReserve(dispatcher.countWaiting(group))) {
+		if (transactionReservation.canReserve(dispatcher.countWaiting(group))) {
 			const startedAt = this.dependencies.clock.now();
 			this.#reservation = this.#reserve(startedAt, startedAt + statementTimeoutMs);
 		}
@@ -104,7 +104,7 @@
 			this.#reservationTimer = setTimeout(() => {
 				this.dependencies.metrics.addCount('reservation_unused');
 				void this.#rollBackAtInstance();
-			}, this.dependencies.reservation.getHoldMs());
+			}, this.dependencies.transactionReservation.getHoldMs());
 		}
 	}
 
@@ -116,7 +116,7 @@
 
 		this.#hasStatement = true;
 		clearTimeout(this.#reservationTimer);
-		this.dependencies.reservation.recordPause(startedAt - this.operation.startedAt);
+		this.dependencies.transactionReservation.recordPause(startedAt - this.operation.startedAt);
 		await this.#reservation;
 		if (this.#placement?.connection.instanceConnection.isOpen === false) {
 			// Nothing has run on the reserved connection, so the transaction may begin on another one.
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -71,7 +71,7 @@
 		identity, coordinatorLease, coordinator, promoter, registrar, storeRecovery, terms, configuration, configurationWatcher, instances, instanceWatcher, dispatcher, limiter, store, network, clock, log, getSettings,
 	});
 	const sessionDependencies: SessionDependencies = {
-		configuration, dispatcher, limiter, reservation: new TransactionReservation(), terms, clock, log, metrics,
+		configuration, dispatcher, limiter, transactionReservation: new TransactionReservation(), terms, clock, log, metrics,
 	};
 	return {
 		gateway: new Gateway(sessionDependencies, instances, configurationWatcher, instanceWatcher, member), log, metrics, terms,
