Sessions: a caller whose transaction the VM ended between two statements is told so

Cause: a shutdown, or the idle timeout of transactions, rolled a transaction back while none of its statements ran. The caller learned nothing of it, and its next statement was refused as invalid ("the transaction failed; roll it back"), which no caller repeats.

Change: the next statement of such a transaction is refused with "transaction-lost", of which nothing is kept; later ones as invalid.

Ruled out: the end of a key, and a statement that the caller sent after an error. Two new tests fail before the change.

--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -30,6 +30,8 @@
 	readonly #runner: StatementRunner;
 	#state: SessionState = 'idle';
 	#transaction: Transaction | undefined;
+	/** Refusal of the next statement of a transaction that was rolled back while none of its statements ran, until the caller is told. */
+	#rollBackRefusal: Refusal | undefined;
 	#transactionIdleTimer: NodeJS.Timeout | undefined;
 	#lastCommit: LogPosition | undefined;
 	#lastCommitAt: number | undefined;
@@ -140,6 +142,7 @@
 		this.#isClosing = true;
 		if (!this.#isRunning && this.#transaction !== undefined) {
 			this.#failTransaction();
+			this.#rollBackRefusal = refusals.transactionAborted(refusal.message);
 		}
 
 		this.#closeIfIdle();
@@ -173,7 +176,9 @@
 	async #runHandler(request: StatementRequest, receivedAt: number): Promise<void> {
 		const {kind} = request.statement;
 		if (this.#state === 'failed-transaction' && !acceptedInFailedTransaction.has(kind)) {
-			this.#refuse(request, refusals.invalid('the transaction failed; roll it back'));
+			const refusal = this.#rollBackRefusal ?? refusals.invalid('the transaction failed; roll it back');
+			this.#rollBackRefusal = undefined;
+			this.#refuse(request, refusal);
 			return;
 		}
 
@@ -223,7 +228,8 @@
 
 		if (transaction === undefined) {
 			this.#state = 'idle';
-			this.#refuse(request, refusals.transactionAborted('a statement of it failed'));
+			this.#refuse(request, this.#rollBackRefusal ?? refusals.transactionAborted('a statement of it failed'));
+			this.#rollBackRefusal = undefined;
 			return;
 		}
 
@@ -249,6 +255,7 @@
 
 		this.#transaction?.rollBack();
 		this.#transaction = undefined;
+		this.#rollBackRefusal = undefined;
 		this.#state = 'idle';
 		this.#acknowledge();
 	}
@@ -397,6 +404,7 @@
 		this.#transactionIdleTimer = setTimeout(() => {
 			this.dependencies.metrics.addCount('transaction_idle');
 			this.#failTransaction();
+			this.#rollBackRefusal = refusals.transactionAborted('it was idle for too long');
 		}, idleMs);
 	}
 
--- a/packages/gateway/src/tests/sessions/sessions.test.ts
+++ b/packages/gateway/src/tests/sessions/sessions.test.ts
@@ -185,6 +185,25 @@
 	cluster.stop();
 });
 
+// Guards against a caller that is told that its statement was invalid, although the VM ended the transaction between two statements.
+test.serial('the next statement of a transaction that was idle for too long is refused as one that may be repeated, and only the one after it as invalid', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const session = cluster.openSession('vm1', 'strict');
+	await session.sendAndWait(begin);
+	await session.sendAndWait(write);
+	await cluster.time.advance(3500);
+	const answer = await session.sendAndWait(write);
+	t.is(describeAnswer(answer), 'transaction-lost');
+	t.is(answer.state, 'failed-transaction');
+	t.is(describeAnswer(await session.sendAndWait(write)), 'invalid-request');
+	t.is((await session.sendAndWait(rollBack)).state, 'idle');
+	await session.sendAndWait(begin);
+	t.true(describeAnswer(await session.sendAndWait(write)).startsWith('signed'));
+	t.is(describeAnswer(await session.sendAndWait(begin)), 'invalid-request');
+	cluster.stop();
+});
+
 test.serial('unknown databases and keys are rejected, and the sessions of a withdrawn key are closed', async t => {
 	const cluster = new TestCluster();
 	await cluster.start();
--- a/packages/gateway/src/tests/sessions/shutdown.test.ts
+++ b/packages/gateway/src/tests/sessions/shutdown.test.ts
@@ -45,6 +45,22 @@
 	cluster.stop();
 });
 
+// Guards against a caller that is told that its statement was invalid, although the shutdown ended the transaction between two statements.
+test.serial('the next statement of a transaction that a shutdown rolled back is refused as one that may be repeated', async t => {
+	const cluster = new TestCluster();
+	await cluster.start();
+	const session = cluster.openSession('vm1', 'strict');
+	await session.sendAndWait(begin);
+	await session.sendAndWait(write);
+	const drained = cluster.getGateway('vm1').gateway.drain(timing);
+	await cluster.time.advance(3200);
+	const answer = await session.sendAndWait(write);
+	t.is(describeAnswer(answer), 'transaction-lost');
+	t.true(answer.result.kind === 'refused' && answer.result.refusal.hasNotRun);
+	await cluster.time.waitFor(drained);
+	cluster.stop();
+});
+
 test.serial('a statement that still waits for a connection at half of the grace period is refused, not kept waiting until its end', async t => {
 	const cluster = new TestCluster();
 	await cluster.start();
