Reads: a VM without a term lease learns positions from all instances of a group

Change: such a read asks all instances of its group for role, term and position. If every one answers and none leads or knows a later term, no other instance had been promoted when they were asked, so the position of the known primary covers every commit acknowledged before. One that does not answer may have been promoted; then nothing is learned. Writes and primary routes are refused as before. The promoter uses the same status reader.

--- a/packages/decisions/src/freshness/index.ts
+++ b/packages/decisions/src/freshness/index.ts
@@ -1,2 +1,3 @@
 export * from './freshness-tracker.js';
 export * from './position-history.js';
+export * from './surveyed-position.js';
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -6,9 +6,9 @@
 import {type Instance, type InstanceRegistry} from '../instances/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {
-	type Clock, type CoordinationStore, type InstanceConnector, type PromotionService,
+	type Clock, type CoordinationStore, type PromotionService,
 } from '../ports/index.js';
-import {type InstanceStatus} from '../statements/index.js';
+import {type InstanceStatusReader, type InstanceWithStatus} from '../positions/index.js';
 import {type GroupTerm, type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
@@ -22,8 +22,6 @@
 	crashed: 0, gone: 0, draining: 300, resumed: 0,
 };
 
-type InstanceWithStatus = {readonly instance: Instance; readonly status: InstanceStatus};
-
 /** Timeout of a status request to an instance and of a read of the registered VMs, in milliseconds. */
 const statusTimeoutMs = 400;
 
@@ -51,9 +49,6 @@
 /** Minimum remaining time of the coordinator lease at which a promotion is requested, in milliseconds. */
 const minRemainingLeaseMs = 500;
 
-/** Account name of the gateway's own connections to instances. */
-const gatewayAccount = 'chicorysaddle';
-
 /** Dependencies of a `Promoter`. */
 export type PromoterDependencies = {
 	readonly vm: string;
@@ -67,7 +62,7 @@
 	readonly configuration: ConfigurationView;
 	readonly dispatcher: Dispatcher;
 	readonly store: CoordinationStore;
-	readonly connector: InstanceConnector;
+	readonly statusReader: InstanceStatusReader;
 	readonly promotionService: PromotionService;
 	readonly clock: Clock;
 	readonly log: EventLog;
@@ -387,24 +382,7 @@
 	}
 
 	async #readStatus(instance: Instance): Promise<InstanceWithStatus | 'busy' | 'unreachable'> {
-		if (this.dependencies.guard.isCutOff(instance)) {
-			return 'unreachable';
-		}
-
-		const result = await this.dependencies.connector.open(instance, gatewayAccount, statusTimeoutMs);
-		if (result.kind === 'failed') {
-			const {reason} = result.failure;
-			return reason === 'busy' || reason === 'connection-limit' ? 'busy' : 'unreachable';
-		}
-
-		const [outcome] = await result.connection.run([{statement: {kind: 'control-status'}}], statusTimeoutMs);
-		const status = outcome === undefined ? undefined : result.connection.parseStatus(outcome);
-		result.connection.close();
-		if (status !== undefined) {
-			return {instance, status};
-		}
-
-		return outcome?.kind === 'error' ? 'busy' : 'unreachable';
+		return this.dependencies.statusReader.readStatus(instance, statusTimeoutMs);
 	}
 }
 
--- /dev/null
+++ b/packages/gateway/src/positions/index.ts
@@ -0,0 +1,2 @@
+export * from './instance-status-reader.js';
+export * from './position-surveyor.js';
--- a/packages/gateway/src/sessions/autocommit-runner.ts
+++ b/packages/gateway/src/sessions/autocommit-runner.ts
@@ -1,7 +1,7 @@
 import {refusals, type LogPosition, Refusal} from '@chicorysaddle/model';
 import {type PlacementRequest, type PreparedStatement} from '../dispatch/index.js';
 import {type ForwardResult, type StatementRequest} from '../statements/index.js';
-import {getCommitTime, getRequiredPosition, type Operation} from './operation.js';
+import {fetchRequiredPosition, getCommitTime, type Operation} from './operation.js';
 import {type SessionDependencies} from './session-dependencies.js';
 import {
 	acquirePlace, isGatewayFailure, isInstanceFailure, type StatementPlace,
@@ -115,7 +115,7 @@
 		const {operation, request, prepared, isWrite, history} = attempt;
 		const {route, startedAt} = operation;
 		const deadline = startedAt + route.statementTimeoutMs;
-		const requiredPosition = isWrite ? undefined : getRequiredPosition(operation, this.dependencies.terms);
+		const requiredPosition = isWrite ? undefined : await fetchRequiredPosition(operation, this.dependencies);
 		const place = await this.#acquirePlace(attempt, requiredPosition);
 		if (place instanceof Refusal) {
 			return {kind: 'refused', refusal: place};
--- a/packages/gateway/src/sessions/operation.ts
+++ b/packages/gateway/src/sessions/operation.ts
@@ -2,6 +2,7 @@
 import {type ClientAccount, type DatabaseRoute} from '../configuration/index.js';
 import {type SessionValues} from '../dispatch/index.js';
 import {type TermRegistry} from '../terms/index.js';
+import {type SessionDependencies} from './session-dependencies.js';
 
 /** One statement outside a transaction, or one transaction. */
 export type Operation = {
@@ -49,6 +50,17 @@
 	return isAtLeast(covering, lastCommit) ? covering : lastCommit;
 }
 
+/** Returns the position as {@link getRequiredPosition} does; if this VM knows none and cannot renew its term lease, it asks the instances first. */
+export async function fetchRequiredPosition(operation: Operation, {terms, surveyor}: Pick<SessionDependencies, 'terms' | 'surveyor'>): Promise<LogPosition | undefined> {
+	const known = getRequiredPosition(operation, terms);
+	if (known !== undefined || operation.route.consistency === 'primary' || terms.isLeaseHeld()) {
+		return known;
+	}
+
+	await surveyor.probePosition(operation.route.group);
+	return getRequiredPosition(operation, terms);
+}
+
 /** Newest commit of a session. */
 export type OwnCommit = Partial<Pick<Operation, 'lastCommit' | 'lastCommitAt'>>;
 
--- a/packages/gateway/src/sessions/session-dependencies.ts
+++ b/packages/gateway/src/sessions/session-dependencies.ts
@@ -5,6 +5,7 @@
 import {type AccountLimiter} from '../limits/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock} from '../ports/index.js';
+import {type PositionSurveyor} from '../positions/index.js';
 import {type TermRegistry} from '../terms/index.js';
 
 /** Dependencies of sessions. */
@@ -14,6 +15,7 @@
 	readonly limiter: AccountLimiter;
 	readonly transactionReservation: TransactionReservation;
 	readonly terms: TermRegistry;
+	readonly surveyor: PositionSurveyor;
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -1,7 +1,7 @@
 import {refusals, type LogPosition, Refusal} from '@chicorysaddle/model';
 import {type PreparedStatement} from '../dispatch/index.js';
 import {type ForwardResult, type StatementRequest, type TransactionAccess} from '../statements/index.js';
-import {getCommitTime, getRequiredPosition, type Operation} from './operation.js';
+import {fetchRequiredPosition, getCommitTime, type Operation} from './operation.js';
 import {type SessionDependencies} from './session-dependencies.js';
 import {createLostAnswerRefusal, type OperationOutcome} from './autocommit-runner.js';
 import {
@@ -156,7 +156,7 @@
 				return refusals.overloaded(route.group, busyRetryDelayMs);
 			}
 
-			const requiredPosition = this.access === 'read-only' ? getRequiredPosition(this.operation, this.dependencies.terms) : undefined;
+			const requiredPosition = this.access === 'read-only' ? await fetchRequiredPosition(this.operation, this.dependencies) : undefined;
 			const place = await acquirePlace({
 				group: route.group, account, target: requiredPosition === undefined ? 'primary' : 'any', requiredPosition, committedAt: getCommitTime(this.operation, requiredPosition), priority: route.priority,
 				deadline: startedAt + (route.statementTimeoutMs * maxWaitFraction), excluded,
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -17,6 +17,7 @@
 import {
 	type AdjustableSettingsSource, type Clock, type CoordinationStore, type InstanceConnector, type PeerNetwork, type PromotionService,
 } from '../ports/index.js';
+import {InstanceStatusReader, PositionSurveyor} from '../positions/index.js';
 import {type SessionDependencies, StatementRunner} from '../sessions/index.js';
 import {TermRegistry} from '../terms/index.js';
 
@@ -95,8 +96,9 @@
 	const coordinator = new Coordinator({
 		vm: identity.vm, coordinatorLease, terms, configuration, configurationAssigner, evacuations, clock, log, limitWindowMs: getSettings().limitWindowMs, isForwardingEnabled,
 	});
+	const statusReader = new InstanceStatusReader({guard, connector});
 	const promoter = new Promoter({
-		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, guard, configuration, dispatcher, store, connector, promotionService: promotion, clock, log, metrics,
+		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, guard, configuration, dispatcher, store, statusReader, promotionService: promotion, clock, log, metrics,
 	});
 	const registrar = new MemberRegistrar({
 		coordinatorLease, coordinator, store, clock, log,
@@ -108,7 +110,9 @@
 		identity, coordinatorLease, coordinator, promoter, registrar, storeRecovery, terms, configuration, configurationWatcher, instances, evacuations, guard, instanceWatcher, dispatcher, limiter, store, network, clock, log, metrics, random: Math.random, getSettings, forwarding,
 	});
 	const sessionDependencies: SessionDependencies = {
-		configuration, dispatcher, limiter, transactionReservation: new TransactionReservation(), terms, clock, log, metrics, forwarding,
+		configuration, dispatcher, limiter, transactionReservation: new TransactionReservation(), terms, clock, log, metrics, forwarding, surveyor: new PositionSurveyor({
+			statusReader, terms, instances, clock, log, metrics,
+		}),
 	};
 	return {
 		gateway: new Gateway(sessionDependencies, instances, configurationWatcher, instanceWatcher, member), log, metrics, terms, directory,
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -142,6 +142,12 @@
 			...termFields, phase: 'string', revision: 'number', before: 'number?',
 		},
 	},
+	'positions.surveyed': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'without a term lease, this VM asked the instances of a group for the position of its primary; without a position they did not agree, or not all answered',
+		fields: {
+			group: 'string', term: 'number', answers: 'number', instances: 'number', position: 'string?', durationMs: 'number',
+		},
+	},
 	'promotion.begun': {
 		importance: 'state', scope: 'cluster', isPossibleCause: true, description: 'a change of primary begins, and the reason', fields: {...termFields, reason: 'string', token: 'number?'},
 	},
