Hand-over: the role of the coordinator is offered to the VMs with the most capacity first

Ways: offers in turn to whoever is connected (until now), or by capacity: a round goes to the largest VMs only, later ones to the others (kept; the test fails with the former).

VMs state their capacity also where nothing is forwarded, if it is less than full. VMs that state that they are draining are not asked.

--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -1,5 +1,5 @@
 import {
-	chooseFollowers, LoadCollector, type PrimaryEvidence, type SilentMembers,
+	chooseFollowers, chooseOfferedMembers, LoadCollector, type PrimaryEvidence, type SilentMembers,
 } from '@chicorysaddle/decisions';
 import {
 	type CoordinatorReport, type Heartbeat, type HeartbeatDelta, type IssuedUsageMessage, type PositionReport, type TokenDemands, type TokenGrants,
@@ -178,15 +178,15 @@
 		this.#membersByLink.get(link)?.recordClosed(this.dependencies.clock.now());
 	}
 
-	/** Asks some of the other VMs whether one of them can take over as the coordinator, and others the next time; each that is asked reads the store. */
+	/** Asks some of the other VMs whether one of them can take over as the coordinator, those with the most capacity first, and others the next time; each that is asked reads the store. */
 	offerHandOver(): void {
-		const links = [...this.#members.values()].flatMap(({link}) => link?.isOpen === true ? [link] : []);
-		const count = Math.min(links.length, offeredMemberCount);
-		for (let index = 0; index < count; index++) {
-			links[(this.#nextOfferIndex + index) % links.length]!.send({kind: 'offer', step: 'ask', usage: undefined});
+		const members = [...this.#members.values()].flatMap(({link, registration}) => link?.isOpen === true && registration?.isDraining !== true ? [{link, capacity: registration?.capacity}] : []);
+		const asked = chooseOfferedMembers(members, this.#nextOfferIndex, offeredMemberCount);
+		for (const {link} of asked) {
+			link.send({kind: 'offer', step: 'ask', usage: undefined});
 		}
 
-		this.#nextOfferIndex += count;
+		this.#nextOfferIndex += asked.length;
 	}
 
 	/** Sends every connected VM the peer address of the new coordinator. */
--- a/packages/gateway/src/coordination/heartbeat-builder.ts
+++ b/packages/gateway/src/coordination/heartbeat-builder.ts
@@ -7,7 +7,9 @@
 import {type Dispatcher} from '../dispatch/index.js';
 import {type EvacuationRegistry} from '../evacuation/index.js';
 import {type Forwarding} from '../forwarding/index.js';
-import {type Clock, getVersionInEra, type PeerLink} from '../ports/index.js';
+import {
+	type AdjustableSettingsSource, type Clock, getVersionInEra, type PeerLink,
+} from '../ports/index.js';
 import {type TermRegistry} from '../terms/index.js';
 import {type GatewayIdentity} from './gateway-identity.js';
 import {announcedFeatures, type PeerFeature} from './peer-features.js';
@@ -15,6 +17,9 @@
 /** Maximum number of sent heartbeats that are kept for matching with reports. */
 const maxPendingHeartbeats = 8;
 
+/** Capacity that a registration does not state. */
+const fullCapacity = 1;
+
 /** Resolution of the ages in messages, in milliseconds: a position is new only if it was observed later than the known one by more. */
 const ageResolutionMs = 0.2;
 
@@ -26,6 +31,7 @@
 	readonly dispatcher: Dispatcher;
 	readonly evacuations?: EvacuationRegistry;
 	readonly clock: Clock;
+	readonly getSettings: AdjustableSettingsSource;
 	/** Returns the state of a transfer of the configuration; undefined if there is none to state. */
 	readonly getConfigurationTransfer: () => Heartbeat['configurationTransfer'];
 	/** Returns the usage of accounts for a coordinator that may not know it. */
@@ -177,12 +183,13 @@
 	}
 
 	#createRegistration(): NonNullable<Heartbeat['registration']> {
-		const {identity, forwarding} = this.dependencies;
+		const {identity, forwarding, getSettings} = this.dependencies;
+		const {capacity} = getSettings();
 		const gateway = forwarding?.getRegistration();
 		const features: PeerFeature[] = [...announcedFeatures, ...(gateway === undefined ? [] : ['forwarding' as const])];
 		return {
 			zone: identity.zone, address: identity.peerAddress, region: identity.regions.get(identity.zone), features: features.length === 0 ? undefined : features,
-			capacity: gateway?.capacity, isDraining: gateway?.isDraining,
+			capacity: capacity === fullCapacity ? undefined : capacity, isDraining: gateway?.isDraining,
 		};
 	}
 
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -1,11 +1,10 @@
 import {type CoordinatorReport, type Heartbeat} from '@chicorysaddle/protocol/coordination';
-import {type AdjustableSettingsSource} from '../ports/index.js';
 import {type ForwardingClient} from './forwarding-client.js';
 import {type ForwardingServer} from './forwarding-server.js';
 import {type GatewayDirectory} from './gateway-directory.js';
 
 /** What a VM that can be a gateway adds to its registration. */
-export type ForwardingRegistration = Pick<NonNullable<Heartbeat['registration']>, 'capacity' | 'isDraining'>;
+export type ForwardingRegistration = Pick<NonNullable<Heartbeat['registration']>, 'isDraining'>;
 
 /** Forwarding between VMs: the directory of gateways, the client of an entry VM and the server of a gateway. */
 export class Forwarding {
@@ -13,7 +12,6 @@
 		private readonly directory: GatewayDirectory,
 		private readonly client: ForwardingClient,
 		readonly server: ForwardingServer,
-		private readonly getSettings: AdjustableSettingsSource,
 	) {}
 
 	/** Revision of the member list, undefined if there is none. */
@@ -23,7 +21,7 @@
 
 	/** Returns what this VM adds to its registration, undefined where connections are ample. */
 	getRegistration(): ForwardingRegistration | undefined {
-		return this.directory.hasScarceGroups ? {capacity: this.getSettings().capacity, isDraining: this.server.isDraining || undefined} : undefined;
+		return this.directory.hasScarceGroups ? {isDraining: this.server.isDraining || undefined} : undefined;
 	}
 
 	/** Applies the member list of a report. */
--- a/packages/gateway/src/tests/coordination/failover.test.ts
+++ b/packages/gateway/src/tests/coordination/failover.test.ts
@@ -221,6 +221,25 @@
 	cluster.stop();
 });
 
+// Guards against a small VM that answers the token requests of all others too late: each VM then limits every account to an even share.
+test.serial('a leaving coordinator hands over to the VM with the most capacity, whatever the order in which VMs accept', async t => {
+	const cluster = new TestCluster(Array.from({length: 12}, (_, index) => `vm${index + 1}`));
+	cluster.capacity = 0.05;
+	cluster.capacities.set('vm1', 1).set('vm9', 1);
+	await cluster.start();
+	const coordinator = cluster.getCoordinator();
+	t.true(['vm1', 'vm9'].includes(coordinator));
+	const draining = cluster.getGateway(coordinator).gateway.drain({graceMs: 6000, rotationMs: 2200});
+	await cluster.time.advance(700);
+	t.is(cluster.getCoordinator(), coordinator === 'vm1' ? 'vm9' : 'vm1');
+	await cluster.time.waitFor(draining);
+	const last = cluster.getGateway(cluster.getCoordinator()).gateway.drain({graceMs: 6000, rotationMs: 2200});
+	await cluster.time.advance(1500);
+	t.false(['vm1', 'vm9', ''].includes(cluster.getCoordinator()), 'a small VM takes over when no larger one is left');
+	await cluster.time.waitFor(last);
+	cluster.stop();
+});
+
 test.serial('a leaving coordinator hands over to another VM at once', async t => {
 	const cluster = new TestCluster();
 	await cluster.start();
--- a/packages/gateway/src/tests/coordination/heartbeat-deltas.test.ts
+++ b/packages/gateway/src/tests/coordination/heartbeat-deltas.test.ts
@@ -55,7 +55,9 @@
 		this.#builder = new HeartbeatBuilder({
 			identity: {
 				vm: 'vm1', zone: 'a', regions: new Map(), incarnation: 'run-1', peerAddress: 'vm1:1',
-			}, terms: this.vmTerms, configuration, dispatcher, clock, getConfigurationTransfer: () => undefined, createUsageReport: () => [],
+			}, terms: this.vmTerms, configuration, dispatcher, clock, getSettings: () => ({
+				drainMs: 7000, limitWindowMs: 5000, capacity: 1, seeds: [],
+			}), getConfigurationTransfer: () => undefined, createUsageReport: () => [],
 		});
 		const configurationAssigner = new ConfigurationAssigner({
 			vm: 'vm2', configuration, configurationWatcher: {} as unknown as ConfigurationWatcher, regions: new Map(), clock,
--- a/packages/gateway/src/tests/fakes/test-cluster.ts
+++ b/packages/gateway/src/tests/fakes/test-cluster.ts
@@ -143,6 +143,8 @@
 	getRoundTripMs: (zone: string, other: string) => number | undefined = () => undefined;
 	/** Capacity of every VM, between 0 and 1. */
 	capacity = 1;
+	/** Capacities of VMs that differ from it. */
+	readonly capacities = new Map<string, number>();
 	/** Whether VMs that are started forward operations to gateways. */
 	isForwardingEnabled = true;
 	/** VMs that are started without forwarding, like a former build. */
@@ -182,7 +184,7 @@
 			clock: this.time, store: new FakeStoreClient(vm, this.store), connector, promotion: {
 				promote: async request => this.databases.find(({group}) => group === request.group)!.promote(request),
 			}, network: new FakeNetwork(vm, this.network), getSettings: () => ({
-				drainMs: 7000, limitWindowMs: 5000, capacity: this.capacity, seeds: this.vms.map(name => `${name}:1`),
+				drainMs: 7000, limitWindowMs: 5000, capacity: this.capacities.get(vm) ?? this.capacity, seeds: this.vms.map(name => `${name}:1`),
 			}), logOutput: this.log, isForwardingEnabled: this.isForwardingEnabled && !this.formerVms.has(vm),
 		});
 		this.gateways.set(vm, gateway);
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -87,7 +87,7 @@
 		directory, configuration, dispatcher, runner: new StatementRunner({
 			clock, dispatcher, metrics, terms,
 		}), instances, clock, metrics, log,
-	}), getSettings);
+	}));
 	const limiter = new AccountLimiter(configuration, getSettings, clock, metrics, log);
 	const coordinatorLease = new CoordinatorLease(store, identity, clock, log);
 	const configurationAssigner = new ConfigurationAssigner({
