Reads: a survey also serves reads of primary routes on a VM without a term lease

Change: a survey that began after an operation arrived shows that no other instance was promoted until then, so its position covers every commit that the operation's reads have to see, and any instance that has it may serve them. An operation waits for two surveys at most, as one may be running that began before. Writes and transactions that may write are refused as before.

Ruled out: writes confirmed by a survey after them; a promotion that is under way would lose them.

--- a/packages/gateway/src/sessions/operation.ts
+++ b/packages/gateway/src/sessions/operation.ts
@@ -31,34 +31,43 @@
 /** Part of a route's staleness bound that is reserved for the transit to the instance, in milliseconds. */
 const stalenessMarginMs = 20;
 
+/** Maximum number of surveys for which an operation waits. */
+const maxSurveys = 2;
+
 /** Chooses the account name of an operation; returns undefined when the key does not grant access to the route. */
 export function chooseAccountName(route: DatabaseRoute, account: ClientAccount | undefined): string | undefined {
 	return account?.name ?? (route.allowsAnonymous ? anonymousAccount : undefined);
 }
 
 /** Returns the log position that a replica must have reached to serve an operation's reads, undefined when only the primary may serve them. */
-export function getRequiredPosition({route, startedAt, lastCommit}: Operation, terms: TermRegistry): LogPosition | undefined {
-	if (route.consistency === 'primary') {
-		return undefined;
-	}
+export function getRequiredPosition(operation: Operation, terms: TermRegistry): LogPosition | undefined {
+	return operation.route.consistency === 'primary' ? undefined : getCoveringPosition(operation, terms);
+}
 
-	const covering = terms.getPositionCovering(route.group, startedAt - Math.max(0, route.maxStalenessMs - stalenessMarginMs));
-	if (covering === undefined || route.consistency === 'bounded' || lastCommit === undefined) {
-		return covering;
+/**
+ * Returns the position as {@link getRequiredPosition} does. If this VM cannot renew its term lease and knows no position that covers the commits that the
+ * reads have to see, it asks the instances first; then a replica may serve reads of a `primary` route too.
+ */
+export async function fetchRequiredPosition(operation: Operation, {terms, surveyor}: Pick<SessionDependencies, 'terms' | 'surveyor'>): Promise<LogPosition | undefined> {
+	let position = getRequiredPosition(operation, terms);
+	// A survey that runs already may have begun before the operation arrived.
+	for (let attempt = 0; attempt < maxSurveys && position === undefined && !terms.isLeaseHeld(); attempt++) {
+		await surveyor.probePosition(operation.route.group);
+		position = getCoveringPosition(operation, terms);
 	}
 
-	return isAtLeast(covering, lastCommit) ? covering : lastCommit;
+	return position;
 }
 
-/** Returns the position as {@link getRequiredPosition} does; if this VM knows none and cannot renew its term lease, it asks the instances first. */
-export async function fetchRequiredPosition(operation: Operation, {terms, surveyor}: Pick<SessionDependencies, 'terms' | 'surveyor'>): Promise<LogPosition | undefined> {
-	const known = getRequiredPosition(operation, terms);
-	if (known !== undefined || operation.route.consistency === 'primary' || terms.isLeaseHeld()) {
-		return known;
+/** Returns the lowest known log position that covers every commit that an operation's reads have to see, undefined if none is known. */
+function getCoveringPosition({route, startedAt, lastCommit}: Operation, terms: TermRegistry): LogPosition | undefined {
+	const acceptedAgeMs = route.consistency === 'primary' ? 0 : Math.max(0, route.maxStalenessMs - stalenessMarginMs);
+	const covering = terms.getPositionCovering(route.group, startedAt - acceptedAgeMs);
+	if (covering === undefined || route.consistency !== 'read-your-writes' || lastCommit === undefined) {
+		return covering;
 	}
 
-	await surveyor.probePosition(operation.route.group);
-	return getRequiredPosition(operation, terms);
+	return isAtLeast(covering, lastCommit) ? covering : lastCommit;
 }
 
 /** Newest commit of a session. */
