Hand-over: a small coordinator leaves the role to a large VM that arrives later

Change: a coordinator that has less than half the capacity of another VM offers the role to the largest ones, one second after it took it and every two seconds at most. VMs of equal size see no difference.

The test (a small coordinator, a large VM that returns from a partition) failed before; the role moves once.

--- a/packages/decisions/src/leases/offer-order.ts
+++ b/packages/decisions/src/leases/offer-order.ts
@@ -23,6 +23,11 @@
 	return rotated.slice(0, Math.min(maxCount, end === -1 ? rotated.length : end));
 }
 
+/** Returns whether a VM has so much more capacity than the holder of a role that the role is better moved to it. */
+export function isMuchLarger(member: OfferedMember, holder: OfferedMember): boolean {
+	return getCapacity(member) * minCapacityFraction > getCapacity(holder);
+}
+
 function getCapacity({capacity}: OfferedMember): number {
 	return capacity ?? defaultCapacity;
 }
--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -56,6 +56,12 @@
 /** Minimum time between the acquisition of the lease and a resignation for being slow, in milliseconds. */
 const minTenureMs = 3000;
 
+/** Minimum time between the acquisition of the lease and a hand-over to a larger VM, in milliseconds: two heartbeats. */
+const minSmallTenureMs = 1000;
+
+/** Interval between offers of the role to larger VMs, in milliseconds: each VM that is asked reads the store. */
+const offerToLargerIntervalMs = 2000;
+
 /** Time for which a VM that resigned for being slow does not acquire the lease again, in milliseconds. */
 const slowVmBackoffMs = 15_000;
 
@@ -281,15 +287,27 @@
 
 		void this.dependencies.coordinatorLease.renewIfDue();
 		void this.dependencies.storeRecovery.recoverIfNeeded();
-		if (this.dependencies.coordinatorLease.getMsSinceRenewal() > offerThresholdMs && now - this.#handOverOfferedAt > offerIntervalMs && !this.dependencies.promoter.isReplacingPrimary) {
-			this.#handOverOfferedAt = now;
-			this.dependencies.coordinator.offerHandOver();
+		if (!this.dependencies.promoter.isReplacingPrimary) {
+			this.#offerHandOverIfDue(now);
 		}
 
 		this.dependencies.promoter.checkGroups();
 		this.dependencies.registrar.checkIfDue();
 	}
 
+	/** Offers the role to other VMs if this one does not reach the store, or to larger ones if it became the coordinator while none was there. */
+	#offerHandOverIfDue(now: number): void {
+		const {coordinatorLease, coordinator, getSettings} = this.dependencies;
+		const passedMs = now - this.#handOverOfferedAt;
+		if (coordinatorLease.getMsSinceRenewal() > offerThresholdMs && passedMs > offerIntervalMs) {
+			this.#handOverOfferedAt = now;
+			coordinator.offerHandOver();
+		} else if (now - coordinatorLease.acquiredAt > minSmallTenureMs && passedMs > offerToLargerIntervalMs) {
+			this.#handOverOfferedAt = now;
+			coordinator.offerToLargerMembers(getSettings().capacity);
+		}
+	}
+
 	/** Reacts to the return of the store from an older copy. */
 	#checkStoreEra(): void {
 		const {store, coordinator, registrar, log} = this.dependencies;
@@ -437,7 +455,7 @@
 			await this.dependencies.coordinatorLease.renew();
 		}
 
-		if (this.dependencies.coordinatorLease.isHeld() && (this.#isLeaving || this.dependencies.coordinatorLease.getMsSinceRenewal() > offerThresholdMs) && !this.dependencies.promoter.isReplacingPrimary) {
+		if (this.dependencies.coordinatorLease.isHeld() && (this.#isLeaving || this.dependencies.coordinatorLease.getMsSinceRenewal() > offerThresholdMs || this.dependencies.coordinator.getLargerMembers(this.dependencies.getSettings().capacity).has(vm)) && !this.dependencies.promoter.isReplacingPrimary) {
 			this.dependencies.log.logEvent('coordinator.handed-over', {to: vm, unrenewedMs: Math.round(this.dependencies.coordinatorLease.getMsSinceRenewal())});
 			const usage = this.dependencies.coordinator.exportUsage();
 			this.dependencies.coordinatorLease.stepDown();
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -1,5 +1,5 @@
 import {
-	chooseFollowers, chooseOfferedMembers, LoadCollector, type PrimaryEvidence, type SilentMembers,
+	chooseFollowers, chooseOfferedMembers, isMuchLarger, LoadCollector, type OfferedMember, type PrimaryEvidence, type SilentMembers,
 } from '@chicorysaddle/decisions';
 import {
 	type CoordinatorReport, type Heartbeat, type HeartbeatDelta, type IssuedUsageMessage, type PositionReport, type TokenDemands, type TokenGrants,
@@ -49,6 +49,9 @@
 	readonly count: number;
 };
 
+/** A VM that could take over as the coordinator. */
+type OfferableMember = OfferedMember & {readonly vm: string; readonly link: PeerLink};
+
 /** Dependencies of a `Coordinator`. */
 export type CoordinatorDependencies = {
 	readonly vm: string;
@@ -178,10 +181,14 @@
 		this.#membersByLink.get(link)?.recordClosed(this.dependencies.clock.now());
 	}
 
+	/** Returns the VMs that could take over as the coordinator and have much more capacity than this one. */
+	getLargerMembers(capacity: number): ReadonlySet<string> {
+		return new Set(this.#getOfferableMembers().filter(member => isMuchLarger(member, {capacity})).map(({vm}) => vm));
+	}
+
 	/** Asks some of the other VMs whether one of them can take over as the coordinator, those with the most capacity first, and others the next time; each that is asked reads the store. */
 	offerHandOver(): void {
-		const members = [...this.#members.values()].flatMap(({link, registration}) => link?.isOpen === true && registration?.isDraining !== true ? [{link, capacity: registration?.capacity}] : []);
-		const asked = chooseOfferedMembers(members, this.#nextOfferIndex, offeredMemberCount);
+		const asked = chooseOfferedMembers(this.#getOfferableMembers(), this.#nextOfferIndex, offeredMemberCount);
 		for (const {link} of asked) {
 			link.send({kind: 'offer', step: 'ask', usage: undefined});
 		}
@@ -189,6 +196,14 @@
 		this.#nextOfferIndex += asked.length;
 	}
 
+	/** Asks the VMs that have much more capacity than this one whether one of them can take over as the coordinator. */
+	offerToLargerMembers(capacity: number): void {
+		const larger = this.getLargerMembers(capacity);
+		for (const {link} of this.#getOfferableMembers().filter(({vm}) => larger.has(vm)).slice(0, offeredMemberCount)) {
+			link.send({kind: 'offer', step: 'ask', usage: undefined});
+		}
+	}
+
 	/** Sends every connected VM the peer address of the new coordinator. */
 	announceSuccessor(address: string): void {
 		for (const member of this.#members.values()) {
@@ -296,6 +311,10 @@
 		this.#tokens.importUsage(usage);
 	}
 
+	#getOfferableMembers(): OfferableMember[] {
+		return [...this.#members.values()].flatMap(({vm, link, registration}) => link?.isOpen === true && registration?.isDraining !== true ? [{vm, link, capacity: registration?.capacity}] : []);
+	}
+
 	#getSilentMembers(): SilentMembers {
 		const {silent, count} = this.#getMemberSets();
 		return {silent, members: count};
--- a/packages/gateway/src/tests/coordination/failover.test.ts
+++ b/packages/gateway/src/tests/coordination/failover.test.ts
@@ -240,6 +240,29 @@
 	cluster.stop();
 });
 
+// Guards against a small VM that became the coordinator while the large ones were cut off or restarting, and serves all others over its narrow link from then on.
+test.serial('a small coordinator leaves the role to a large VM that arrives later, and only once', async t => {
+	const cluster = new TestCluster(['vm1', 'vm2', 'vm3', 'vm4']);
+	cluster.capacity = 0.05;
+	cluster.capacities.set('vm4', 1);
+	cluster.network.isolatedVms.add('vm4');
+	cluster.store.faultsByVm.set('vm4', 'silent');
+	await cluster.start();
+	const small = cluster.getCoordinator();
+	t.not(small, 'vm4');
+	await cluster.time.advance(4000);
+	t.is(cluster.getCoordinator(), small);
+	cluster.network.isolatedVms.delete('vm4');
+	cluster.store.faultsByVm.delete('vm4');
+	await cluster.time.advance(4000);
+	t.is(cluster.getCoordinator(), 'vm4');
+	await cluster.time.advance(5000);
+	t.is(cluster.getCoordinator(), 'vm4');
+	t.is(cluster.log.events.filter(({name}) => name === 'coordinator.handed-over').length, 1);
+	t.true(describeAnswer(await cluster.openSession('vm1', 'strict').sendAndWait(statements.write)).startsWith('signed'));
+	cluster.stop();
+});
+
 test.serial('a leaving coordinator hands over to another VM at once', async t => {
 	const cluster = new TestCluster();
 	await cluster.start();
