--- a/packages/gateway/src/positions/position-surveyor.ts
+++ b/packages/gateway/src/positions/position-surveyor.ts
@@ -67,7 +67,8 @@
 			return;
 		}
 
-		const expectedCount = this.#updateSize(group);
+		this.#updateSize(group);
+		const expectedCount = this.#sizes.get(group)!.count;
 		const startedAt = clock.now();
 		const readings = await Promise.all([...instances.getGroupInstances(group)].map(async instance => statusReader.readStatus(instance, statusTimeoutMs)));
 		const answers = readings.flatMap(reading => typeof reading === 'string' ? [] : [{id: reading.instance.id, ...reading.status}]);
@@ -84,16 +85,13 @@
 		}
 	}
 
-	/** Records how many instances of a group are listed; returns the largest number of the last minute. */
-	#updateSize(group: string): number {
+	/** Updates the largest number of listed instances of a group. */
+	#updateSize(group: string): void {
 		const now = this.dependencies.clock.now();
 		const count = [...this.dependencies.instances.getGroupInstances(group)].length;
 		const known = this.#sizes.get(group);
 		if (known === undefined || count >= known.count || now - known.at > countRetentionMs) {
 			this.#sizes.set(group, {count, at: now});
-			return count;
 		}
-
-		return known.count;
 	}
 }
