--- a/packages/decisions/src/limits/local-allowance.ts
+++ b/packages/decisions/src/limits/local-allowance.ts
@@ -6,7 +6,7 @@
 const unknownFreeFraction = 0.1;
 
 /** Time within which the part of a VM becomes the even share, in milliseconds: callers stay at their VMs for longer than most outages last, so an even share would refuse those of few VMs. */
-const evenShareDelayMs = 30_000;
+const evenShareDelayMs = 60_000;
 
 /** What a VM knows of an account when it loses the issuer. */
 export type LocalUsage = {
@@ -20,7 +20,7 @@
 
 /**
  * Returns the number of operations that a VM may admit in the window that ends now, while the issuer does not answer.
- * It starts from what the VM used and its part of what the account had left, and becomes the even share within half a minute. So what all VMs admit remains
+ * It starts from what the VM used and its part of what the account had left, and becomes the even share within a minute. So what all VMs admit remains
  * within the limit, however uneven the load was; VMs that know of nothing left exceed it by at most a tenth.
  * @param members - Number of VMs that share the limit.
  * @param elapsedMs - Time since the VM lost the issuer, in milliseconds.
--- a/packages/decisions/src/tests/limits/local-allowance.test.ts
+++ b/packages/decisions/src/tests/limits/local-allowance.test.ts
@@ -20,11 +20,11 @@
 	t.pass();
 });
 
-test('a VM that knows of an idle account may admit its even share at once, and every VM after half a minute', t => {
+test('a VM that knows of an idle account may admit its even share at once, and every VM after a minute', t => {
 	t.is(countAllowedLocally(limit, windowMs, 9, {used: 0, free: allowed, freeAgeMs: 0}, 0), allowed / 9);
 	t.is(countAllowedLocally(limit, windowMs, 9, {used: 0, free: 0, freeAgeMs: Number.POSITIVE_INFINITY}, 0), allowed / 90);
-	t.is(countAllowedLocally(limit, windowMs, 9, {used: 0, free: 0, freeAgeMs: Number.POSITIVE_INFINITY}, 30_000), allowed / 9);
-	t.is(countAllowedLocally(limit, windowMs, 9, {used: allowed, free: 0, freeAgeMs: 0}, 30_000), allowed / 9);
+	t.is(countAllowedLocally(limit, windowMs, 9, {used: 0, free: 0, freeAgeMs: Number.POSITIVE_INFINITY}, 60_000), allowed / 9);
+	t.is(countAllowedLocally(limit, windowMs, 9, {used: allowed, free: 0, freeAgeMs: 0}, 60_000), allowed / 9);
 });
 
 type Allowance = typeof countAllowedLocally;
