Revert "Limits: without a coordinator, a VM keeps the part of an account's limit that its callers use"

After a restart of all processes no VM knows what it used, so each admitted a tenth of its share for a long time: 72 of 78 VMs refused about 1350 operations a second in second 14 (60 s). The load of the test, callers at 2 to 8 of 78 VMs, is not the load of the site: there an account refused most was refused at 17 to 30 VMs.

--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -167,7 +167,7 @@
 		importance: 'state', scope: 'cluster', isPossibleCause: true, description: 'a change of primary failed; it is retried', fields: {group: 'string', error: 'string'},
 	},
 	'limits.local': {
-		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'no coordinator answers: this VM limits each account to what it used here and its part of what the account had left, and within a minute to an even share', fields: {members: 'number'},
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'no coordinator answers: this VM limits each account to what it used here and its part of what the account had left, and within one window to an even share', fields: {members: 'number'},
 	},
 	'limits.shared': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'the coordinator limits accounts across all VMs again', fields: {localMs: 'number'},
