--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -10,11 +10,31 @@
 /** Result of a case, as the exit code of its script. */
 const exitCodes = {held: 0, broken: 1, notRun: 2};
 
+/** Runs a transaction that reads twice. */
+async function runReadTransaction(session) {
+	const begin = await session.query('BEGIN READ');
+	if (begin.code !== 'ok') {
+		return begin;
+	}
+
+	const facts = {transaction: begin.id, begunAt: begin.sentAt};
+	for (const item of ['item1', 'item2']) {
+		const answer = await session.query(`READ ${item}`, 5000, facts);
+		if (answer.code !== 'ok') {
+			session.close();
+			return answer;
+		}
+	}
+
+	return session.query('COMMIT', 5000, facts);
+}
+
 /**
  * A client that opens sessions at any VM, writes and reads, and repeats nothing.
+ * @param options.hasTransactions - Whether every other operation is a transaction that reads.
  * @param options.paceMs - Interval of its statements, in milliseconds; 0 for one after the other.
  */
-async function runClient(world, {databases, paceMs, isStopped}) {
+async function runClient(world, {databases, paceMs, hasTransactions, isStopped}) {
 	for (let round = 0; !isStopped(); round++) {
 		const vm = world.vms[Math.floor(Math.random() * world.vms.length)];
 		const database = databases[round % databases.length];
@@ -24,7 +44,10 @@
 		if (await session.open()) {
 			for (let count = 0; count < 20 && session.isOpen && !isStopped(); count++) {
 				const startedAt = performance.now();
-				const {code} = await session.query(count % 2 === 0 ? `WRITE item${count} data` : `READ item${count}`);
+				const isBounded = world.routes.find(route => route.database === database).type === 'bounded';
+				const {code} = hasTransactions && count % 2 === 0
+					? await runReadTransaction(session)
+					: await session.query(count % 2 === 0 && !isBounded ? `WRITE item${count} data` : `READ item${count}`);
 				await pause(Math.max(code === 'ok' ? 15 : 100, startedAt + paceMs - performance.now()));
 			}
 		}
@@ -69,8 +92,10 @@
 	let exitCode = exitCodes.notRun;
 	try {
 		await world.start();
-		const {databases = options.routes.map(({database}) => database), clientCount = 12, paceMs = 0} = options;
-		const clients = Array.from({length: clientCount}, async () => runClient(world, {databases, paceMs, isStopped: () => isStopped}));
+		const {databases = options.routes.map(({database}) => database), clientCount = 12, paceMs = 0, hasTransactions = false} = options;
+		const clients = Array.from({length: clientCount}, async () => runClient(world, {
+			databases, paceMs, hasTransactions, isStopped: () => isStopped,
+		}));
 		note('the deployment is up');
 		await pause(2000);
 		const startedAt = performance.now();
--- a/review/lib/world.js
+++ b/review/lib/world.js
@@ -76,17 +76,7 @@
 
 		this.configure(1, this.routes);
 		for (let index = 0; index < this.options.vmCount; index++) {
-			const host = this.getHost(index);
-			const platform = new PlatformServer(this.store, this.groups, call => {
-				this.calls.push({at: performance.now(), vm: index, ...call});
-			});
-			this.platforms.push(platform);
-			const address = await platform.listen(host);
-			const [front, ready, control, peer] = [await findFreePort(host), await findFreePort(host), await findFreePort(host), await findFreePort(host)];
-			const vm = {
-				index, name: `front-${index}`, host, address, front: `${host}:${front}`, ready: `${host}:${ready}`, control: `${host}:${control}`, peer,
-			};
-			this.vms.push(vm);
+			await this.#prepareVm(index);
 		}
 
 		for (const vm of this.vms) {
@@ -97,6 +87,29 @@
 		await this.waitUntilReady();
 	}
 
+	/** Adds a VM to the running deployment. */
+	async addVm() {
+		const vm = await this.#prepareVm(this.vms.length);
+		this.#writeSettings(vm);
+		this.startVm(vm);
+		return vm;
+	}
+
+	async #prepareVm(index) {
+		const host = this.getHost(index);
+		const platform = new PlatformServer(this.store, this.groups, call => {
+			this.calls.push({at: performance.now(), vm: index, ...call});
+		});
+		this.platforms.push(platform);
+		const address = await platform.listen(host);
+		const [front, ready, control, peer] = [await findFreePort(host), await findFreePort(host), await findFreePort(host), await findFreePort(host)];
+		const vm = {
+			index, name: `front-${index}`, host, address, front: `${host}:${front}`, ready: `${host}:${ready}`, control: `${host}:${control}`, peer,
+		};
+		this.vms.push(vm);
+		return vm;
+	}
+
 	/** Writes a version of the configuration. */
 	configure(version, routes) {
 		const services = [...new Set(routes.map(({service}) => service))];
