--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,6 +1,6 @@
 /** A former primary is used again after a successor has been promoted: see claim.txt. */
 /* eslint-disable no-await-in-loop -- sequential steps are awaited in loops, and queries are told apart in one place */
-import {runCase} from '../lib/case.js';
+import {runCase} from '../case.js';
 
 await runCase(import.meta.url, {
 	routes: [{
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,6 +1,6 @@
 /** A database stays without a primary for good after a write of the store whose answer was lost: see claim.txt. */
 /* eslint-disable @stylistic/max-len -- sequential steps are awaited in loops, and queries are told apart in one place */
-import {runCase} from '../lib/case.js';
+import {runCase} from '../case.js';
 
 /** Largest share of refused and failed requests that the gate allows. */
 const maxFailedShare = 0.6;
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,5 +1,5 @@
 /** An instance gets COMMIT with a prefix that no client sent, from gateways that forward to each other: see claim.txt. */
-import {runCase} from '../lib/case.js';
+import {runCase} from '../case.js';
 
 await runCase(import.meta.url, {
 	vmCount: 3,
--- a/review/lib/world.js
+++ b/review/world.js
@@ -12,7 +12,7 @@
 import {Group} from './group.js';
 import {pause, PlatformServer, Store} from './platform.js';
 
-const root = fileURLToPath(new URL('../../', import.meta.url));
+const root = fileURLToPath(new URL('../', import.meta.url));
 
 /** Reads the command and the variables of the gateway from the deploy file. */
 function readDeployFile() {
