Promotion: the search for a successor and the writes of terms get modules of their own

Change: SuccessorPromoter, TermWriter, and the retried status requests in InstanceStatusReader. Nothing else changes. Measured: the tests of packages/gateway coordination and evacuation pass.

--- a/packages/gateway/src/coordination/index.ts
+++ b/packages/gateway/src/coordination/index.ts
@@ -9,6 +9,8 @@
 export * from './coordinator.js';
 export * from './member-registrar.js';
 export * from './promoter.js';
+export * from './successor-promoter.js';
+export * from './term-writer.js';
 export * from './store-membership.js';
 export * from './store-recovery.js';
 export * from './cluster-member.js';
--- a/packages/gateway/src/positions/instance-status-reader.ts
+++ b/packages/gateway/src/positions/instance-status-reader.ts
@@ -1,11 +1,20 @@
 import {type InstanceGuard} from '../evacuation/index.js';
 import {type Instance} from '../instances/index.js';
-import {type InstanceConnector} from '../ports/index.js';
+import {type Clock, type InstanceConnector} from '../ports/index.js';
 import {type InstanceStatus} from '../statements/index.js';
 
 /** Account name of the gateway's own connections to instances. */
 const gatewayAccount = 'chicorysaddle';
 
+/** Timeout of a status request that is retried while the instance is busy, in milliseconds. */
+const retriedRequestTimeoutMs = 400;
+
+/** Maximum time for which a status request to a busy instance is retried, in milliseconds. */
+const busyRetryTimeoutMs = 800;
+
+/** Delay before a status request to a busy instance is retried, in milliseconds. */
+const busyRetryDelayMs = 30;
+
 /** An instance with what it reported about itself. */
 export type InstanceWithStatus = {readonly instance: Instance; readonly status: InstanceStatus};
 
@@ -13,6 +22,7 @@
 export type InstanceStatusReaderDependencies = {
 	readonly guard: InstanceGuard;
 	readonly connector: InstanceConnector;
+	readonly clock: Clock;
 };
 
 /** Asks instances for their role, term and log position, each on a connection of its own. */
@@ -43,4 +53,29 @@
 
 		return outcome?.kind === 'error' ? 'busy' : 'unreachable';
 	}
+
+	/** Reads the status of an instance and retries while it is busy; returns undefined if it stays busy or is unreachable. */
+	async readStatusWithRetry(instance: Instance): Promise<InstanceWithStatus | undefined> {
+		const deadline = this.dependencies.clock.now() + busyRetryTimeoutMs;
+		for (;;) {
+			const reading = await this.readStatus(instance, retriedRequestTimeoutMs);
+			if (reading !== 'busy') {
+				return reading === 'unreachable' ? undefined : reading;
+			}
+
+			if (this.dependencies.clock.now() >= deadline) {
+				return undefined;
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, busyRetryDelayMs);
+			});
+		}
+	}
+
+	/** Reads the statuses of several instances; omits those that stay busy or are unreachable. */
+	async readStatuses(instances: Iterable<Instance>): Promise<InstanceWithStatus[]> {
+		const readings = await Promise.all(Array.from(instances, async instance => this.readStatusWithRetry(instance)));
+		return readings.filter(reading => reading !== undefined);
+	}
 }
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -1,7 +1,7 @@
 import {TransactionReservation} from '@chicorysaddle/decisions';
 import {ConfigurationWatcher, ConfigurationView} from '../configuration/index.js';
 import {
-	ClusterMember, ConfigurationAssigner, Coordinator, CoordinatorLease, type GatewayIdentity, MemberRegistrar, Promoter, StoreRecovery,
+	ClusterMember, ConfigurationAssigner, Coordinator, CoordinatorLease, type GatewayIdentity, MemberRegistrar, Promoter, StoreRecovery, SuccessorPromoter, TermWriter,
 } from '../coordination/index.js';
 import {Dispatcher, NetworkDistance} from '../dispatch/index.js';
 import {EvacuationMonitor, EvacuationRegistry, InstanceGuard} from '../evacuation/index.js';
@@ -96,9 +96,15 @@
 	const coordinator = new Coordinator({
 		vm: identity.vm, coordinatorLease, terms, configuration, configurationAssigner, evacuations, clock, log, limitWindowMs: getSettings().limitWindowMs, isForwardingEnabled,
 	});
-	const statusReader = new InstanceStatusReader({guard, connector});
+	const statusReader = new InstanceStatusReader({guard, connector, clock});
+	const termWriter = new TermWriter({
+		coordinatorLease, coordinator, terms, store,
+	});
+	const successorPromoter = new SuccessorPromoter({
+		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, guard, statusReader, promotionService: promotion, clock, log,
+	});
 	const promoter = new Promoter({
-		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, guard, configuration, dispatcher, store, statusReader, promotionService: promotion, clock, log, metrics,
+		vm: identity.vm, coordinatorLease, coordinator, terms, instances, guard, configuration, dispatcher, store, statusReader, termWriter, successorPromoter, clock, log, metrics,
 	});
 	const registrar = new MemberRegistrar({
 		coordinatorLease, coordinator, store, clock, log,
