Promotion: an order is recorded before it is given, and an interrupted change decides from the record

Cause: only the memory of the coordinator knew that a promotion had been ordered. One that resumed the change took the answer of the former primary for proof that nothing had been promoted, although the promoted instance was merely silent.

Change: the row of a closing term has a record (fencing token, former primary, last order). It is written under the lease before the order; a resumed change uses what the record names, and otherwise orders again. Rows without a complete record need the answers of all instances of the group.

Why this works: a former primary can be used in its old term only where the record shows that nothing was ordered, or the platform changes nothing on an order for it, which it does for the present primary alone.

--- a/packages/decisions/src/freshness/surveyed-position.ts
+++ b/packages/decisions/src/freshness/surveyed-position.ts
@@ -1,7 +1,7 @@
 import {type LogPosition} from '@chicorysaddle/model';
 
 /** Minimum number of instances that have to answer: a primary alone does not show that it was not replaced. */
-const minInstanceCount = 2;
+export const minInstanceCount = 2;
 
 /** What an instance answered about itself. */
 export type SurveyedInstance = {
--- a/packages/decisions/src/promotion/index.ts
+++ b/packages/decisions/src/promotion/index.ts
@@ -2,3 +2,4 @@
 export * from './promotion-round.js';
 export * from './primary-liveness.js';
 export * from './successor-ranking.js';
+export * from './promotion-record.js';
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -9,8 +9,8 @@
 import {type GroupTerm, type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
-import {parseSharedRows} from './shared-rows.js';
-import {findPrimary, type SuccessorPromoter} from './successor-promoter.js';
+import {parseSharedRows, type StoredTerm} from './shared-rows.js';
+import {findPrimary, type PromotedInstance, type SuccessorPromoter} from './successor-promoter.js';
 import {type TermWriter} from './term-writer.js';
 
 /** Reason for replacing the primary of a group; `gone`: it is no longer listed, `resumed`: an unfinished change left the term in phase `closing`. */
@@ -27,6 +27,9 @@
 /** Polling interval of the wait loops, in milliseconds. */
 const pollIntervalMs = 30;
 
+/** Interval at which the instance that the record of an interrupted change names is asked whether it leads, in milliseconds: each request takes a slot. */
+const recordCheckIntervalMs = 200;
+
 /** Delay before a failed change of primary is retried, in milliseconds. */
 const retryDelayMs = 200;
 
@@ -155,9 +158,7 @@
 		// An instance of an evacuated zone cannot be asked; once it is recorded as the primary, another one replaces it.
 		const evacuated = instances.find(instance => instance.reportedRole === 'primary' && this.dependencies.guard.isCutOff(instance));
 		if (primary === undefined && evacuated !== undefined && readings.length > 0) {
-			await this.dependencies.termWriter.writeTerm(group, 0, {
-				term: Math.max(...readings.map(({status}) => status.term)), primaryId: evacuated.id, phase: 'open', drainMs: 0,
-			});
+			await this.dependencies.termWriter.openTerm(group, 0, {term: Math.max(...readings.map(({status}) => status.term)), primaryId: evacuated.id});
 			return;
 		}
 
@@ -166,57 +167,67 @@
 			return;
 		}
 
-		await this.dependencies.termWriter.writeTerm(group, 0, {
-			term: primary.status.term, primaryId: primary.instance.id, phase: 'open', drainMs: 0,
-		});
+		await this.dependencies.termWriter.openTerm(group, 0, {term: primary.status.term, primaryId: primary.instance.id});
 	}
 
 	async #replacePrimary(term: GroupTerm, reason: PromotionReason): Promise<void> {
 		this.dependencies.log.logEvent('promotion.begun', {
 			group: term.group, term: term.term, primary: term.primaryId, reason, token: this.dependencies.coordinatorLease.token,
 		});
-		const startedAt = this.dependencies.clock.now();
-		const closedTerm = reason === 'resumed'
-			? term
-			: await this.dependencies.termWriter.writeTerm(term.group, term.revision, {
-				term: term.term, primaryId: term.primaryId, phase: 'closing', drainMs: drainMsByReason[reason],
-			});
-		if (closedTerm === undefined || !await this.#waitUntilClosed(closedTerm)) {
+		const {termWriter, successorPromoter, clock, log, metrics} = this.dependencies;
+		const startedAt = clock.now();
+		const isResumed = reason === 'resumed';
+		const closedTerm = isResumed ? await termWriter.readClosingTerm(term.group) : await termWriter.closeTerm(term, drainMsByReason[reason]);
+		const closing = closedTerm && await this.#waitUntilClosed(closedTerm, isResumed);
+		if (closing === undefined || closing === 'abandoned') {
 			await delay(retryDelayMs);
 			return;
 		}
 
-		const closedMs = this.dependencies.clock.now() - startedAt;
-		const primary = await this.dependencies.successorPromoter.promoteSuccessor(closedTerm, reason === 'resumed');
+		const closedMs = clock.now() - startedAt;
+		const primary = closing === 'closed' ? await successorPromoter.promoteSuccessor(closedTerm!, isResumed) : closing;
 		if (primary === undefined) {
 			await delay(retryDelayMs);
 			return;
 		}
 
-		const openedTerm = await this.dependencies.termWriter.writeTerm(closedTerm.group, closedTerm.revision, {
-			term: primary.status.term, primaryId: primary.instance.id, phase: 'open', drainMs: 0,
-		});
-		this.dependencies.log.logEvent('promotion.ended', {
-			group: term.group, term: primary.status.term, primary: primary.instance.id, closedMs: Math.round(closedMs), durationMs: Math.round(this.dependencies.clock.now() - startedAt), recorded: openedTerm !== undefined,
+		const {instance, status, revision} = primary;
+		const openedTerm = await termWriter.openTerm(term.group, revision, {term: status.term, primaryId: instance.id});
+		log.logEvent('promotion.ended', {
+			group: term.group, term: status.term, primary: instance.id, closedMs: Math.round(closedMs), durationMs: Math.round(clock.now() - startedAt), recorded: openedTerm !== undefined,
 		});
-		this.dependencies.metrics.addCount('promotions');
+		metrics.addCount('promotions');
 	}
 
-	/** Waits until no VM acts on an older revision of the term; returns false if the coordinator lease ends first. */
-	async #waitUntilClosed(closedTerm: GroupTerm): Promise<boolean> {
-		const closedAt = this.dependencies.clock.now();
-		const result = await this.dependencies.store.readSharedRows(statusTimeoutMs);
-		const registeredVms = result.kind === 'ok' ? new Set(parseSharedRows(result.value, this.dependencies.log).members.keys()) : undefined;
+	/**
+	 * Waits until no VM acts on an older revision of the term.
+	 * @param isResumed - Whether the change was interrupted; the wait ends early if the record names the primary, since the term then opens with the same primary or had closed before the order.
+	 * @returns The primary that the record names, or else whether the term has closed; `abandoned` if the coordinator lease ended first.
+	 */
+	async #waitUntilClosed(closedTerm: StoredTerm, isResumed: boolean): Promise<PromotedInstance | 'closed' | 'abandoned'> {
+		const {store, coordinator, coordinatorLease, successorPromoter, clock, log} = this.dependencies;
+		const closedAt = clock.now();
+		const result = await store.readSharedRows(statusTimeoutMs);
+		const registeredVms = result.kind === 'ok' ? new Set(parseSharedRows(result.value, log).members.keys()) : undefined;
+		let recordCheckedAt = Number.NEGATIVE_INFINITY;
 		// Without the list of registered VMs, an unknown name that never acknowledges makes the wait last until the term leases have expired.
-		while (!this.dependencies.coordinator.isTermClosed(closedTerm.group, closedTerm.revision, closedAt, registeredVms ?? new Set(['an unknown VM']))) {
-			if (!this.dependencies.coordinatorLease.isHeld()) {
-				return false;
+		while (!coordinator.isTermClosed(closedTerm.group, closedTerm.revision, closedAt, registeredVms ?? new Set(['an unknown VM']))) {
+			if (!coordinatorLease.isHeld()) {
+				return 'abandoned';
+			}
+
+			if (isResumed && clock.now() >= recordCheckedAt + recordCheckIntervalMs) {
+				recordCheckedAt = clock.now();
+				const recorded = await successorPromoter.findRecordedPrimary(closedTerm);
+				if (recorded !== undefined) {
+					return recorded;
+				}
 			}
 
 			await delay(pollIntervalMs);
 		}
 
-		return true;
+		return 'closed';
 	}
 }
 
--- a/packages/gateway/src/coordination/shared-rows.ts
+++ b/packages/gateway/src/coordination/shared-rows.ts
@@ -1,6 +1,7 @@
 import {
 	Codec, exactly, type GetType, number, oneOf, optional, string,
 } from 'purify-ts';
+import {type PromotionRecord} from '@chicorysaddle/decisions';
 import {type EventLog} from '../observability/index.js';
 import {
 	getEra, type SharedRow, type SharedRowWrite, type StoreVersion,
@@ -21,6 +22,12 @@
 
 const memberCodec = Codec.interface({address: string, zone: string, incarnation: string});
 
+const promotionCodec = Codec.interface({
+	token: number,
+	formerPrimaryId: string,
+	order: optional(Codec.interface({instanceId: string, instanceTerm: number})),
+});
+
 const termCodec = Codec.interface({
 	term: number,
 	primaryId: string,
@@ -28,6 +35,8 @@
 	drainMs: number,
 	/** Era of the store in which the row was written; absent for era 0. */
 	era: optional(number),
+	/** Promotions ordered since the term closed; absent in rows of open terms and of former builds. */
+	promotion: optional(promotionCodec),
 });
 
 /** Row that names the coordinator, with its version in the store. */
@@ -40,7 +49,13 @@
 export type MemberContent = GetType<typeof memberCodec>;
 
 /** Content of a group's term row. */
-export type TermContent = Omit<GetType<typeof termCodec>, 'era'>;
+export type TermContent = Omit<GetType<typeof termCodec>, 'era' | 'promotion'> & {readonly promotion?: PromotionRecord | undefined};
+
+/** A term with what its row records about a change of primary. */
+export type StoredTerm = GroupTerm & {readonly promotion?: PromotionRecord | undefined};
+
+/** Primary in the row of a closing term once a promotion has been ordered: a former build uses the one that the row names again if it answers. */
+export const noPrimaryId = '';
 
 /** Maximum number of rows that are written with one call beside the row of the coordinator's lease; the store accepts about twice as many entries. */
 export const maxRowsPerWrite = 45;
@@ -50,7 +65,7 @@
 	readonly coordinator: CoordinatorRow | undefined;
 	readonly members: ReadonlyMap<string, MemberRow>;
 	/** Terms that were written in the store's present era. */
-	readonly terms: ReadonlyMap<string, GroupTerm>;
+	readonly terms: ReadonlyMap<string, StoredTerm>;
 	/** Terms from an older copy of the store: later ones may have been lost. */
 	readonly restoredTerms: ReadonlyMap<string, GroupTerm>;
 };
@@ -85,10 +100,12 @@
  * Creates the write of a group's term row, on condition that the row is at a version; 0 for an absent row.
  * @param era - Present era of the store; era 0 is not written, so that the row reads as a former build writes it.
  */
-export function createTermWrite({group, term, primaryId, phase, drainMs}: TermContent & {readonly group: string}, era: number, expectedVersion: StoreVersion): SharedRowWrite {
+export function createTermWrite({
+	group, term, primaryId, phase, drainMs, promotion,
+}: TermContent & {readonly group: string}, era: number, expectedVersion: StoreVersion): SharedRowWrite {
 	return {
 		key: getTermKey(group), expectedVersion, value: JSON.stringify({
-			term, primaryId, phase, drainMs, era: era === 0 ? undefined : era,
+			term, primaryId, phase, drainMs, era: era === 0 ? undefined : era, promotion,
 		}),
 	};
 }
@@ -97,7 +114,7 @@
 export function parseSharedRows(rows: readonly SharedRow[], log: EventLog): SharedState {
 	let coordinator: CoordinatorRow | undefined;
 	const members = new Map<string, MemberRow>();
-	const terms = new Map<string, GroupTerm>();
+	const terms = new Map<string, StoredTerm>();
 	const restoredTerms = new Map<string, GroupTerm>();
 	for (const row of rows) {
 		const value = parseValue(row);
@@ -114,8 +131,14 @@
 			const group = row.key.slice(termKeyPrefix.length);
 			const content = decodeRow(termCodec, row, value, log);
 			if (content !== undefined) {
-				const {era, ...term} = content;
-				(isRestored({era, version: row.version}) ? restoredTerms : terms).set(group, {...term, group, revision: row.version});
+				const {era, promotion, ...rest} = content;
+				const term = {...rest, group, revision: row.version};
+				if (isRestored({era, version: row.version})) {
+					// Later orders may have been lost with the rows.
+					restoredTerms.set(group, term);
+				} else {
+					terms.set(group, {...term, promotion});
+				}
 			}
 		}
 	}
--- a/packages/gateway/src/coordination/store-membership.ts
+++ b/packages/gateway/src/coordination/store-membership.ts
@@ -114,7 +114,7 @@
 	/** Applies the terms of a state and renews the term lease if the state may be relied on. */
 	applyTerms(state: SharedState, at: ClockReading): void {
 		const {terms, store} = this.dependencies;
-		for (const term of state.terms.values()) {
+		for (const {promotion, ...term} of state.terms.values()) {
 			terms.applyTerm(term);
 		}
 
--- a/packages/gateway/src/coordination/successor-promoter.ts
+++ b/packages/gateway/src/coordination/successor-promoter.ts
@@ -1,13 +1,17 @@
-import {rankSuccessors} from '@chicorysaddle/decisions';
+import {
+	confirmationMs, findRecordedPrimary, findSurveyedPrimary, getOrderedPromotion, type InstanceRole, isOrderComplete, type OrderedPromotion, type PromotionOrder, rankResumedCandidates, rankSuccessors,
+} from '@chicorysaddle/decisions';
 import {comparePositions, type LogPosition} from '@chicorysaddle/model';
 import {type InstanceGuard} from '../evacuation/index.js';
-import {type Instance, type InstanceRegistry} from '../instances/index.js';
+import {type GroupSizes, type Instance, type InstanceRegistry} from '../instances/index.js';
 import {type EventLog} from '../observability/index.js';
 import {type Clock, type PromotionService} from '../ports/index.js';
 import {type InstanceStatusReader, type InstanceWithStatus} from '../positions/index.js';
-import {type GroupTerm, type TermRegistry} from '../terms/index.js';
+import {type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
+import {type StoredTerm} from './shared-rows.js';
+import {type TermWriter} from './term-writer.js';
 
 /** Maximum time for which a change of primary waits for the successor to catch up with a primary that still answers, in milliseconds. */
 const catchUpTimeoutMs = 1500;
@@ -36,68 +40,125 @@
 	readonly coordinator: Coordinator;
 	readonly terms: TermRegistry;
 	readonly instances: InstanceRegistry;
+	readonly groupSizes: GroupSizes;
 	readonly guard: InstanceGuard;
 	readonly statusReader: InstanceStatusReader;
+	readonly termWriter: TermWriter;
 	readonly promotionService: PromotionService;
 	readonly clock: Clock;
 	readonly log: EventLog;
 };
 
+/** The primary for the next term, with the version of the row of the term that closed. */
+export type PromotedInstance = InstanceWithStatus & {readonly revision: number};
+
 /** Chooses the successor of a primary whose term has closed, and promotes it. */
 export class SuccessorPromoter {
 	constructor(private readonly dependencies: SuccessorPromoterDependencies) {}
 
-	/** Finds the new primary: an instance that was already promoted, otherwise the most advanced one, which it promotes; returns undefined if none could be promoted. */
-	async promoteSuccessor(closedTerm: GroupTerm, isResumed: boolean): Promise<InstanceWithStatus | undefined> {
-		const instances = this.dependencies.instances.getGroupInstances(closedTerm.group);
-		const readings = await this.dependencies.statusReader.readStatuses(instances);
-		const primary = findPrimary(readings.filter(reading => reading.status.term > closedTerm.term));
-		if (primary !== undefined) {
-			return primary;
+	/** Finds the primary that the record of an interrupted change names; returns undefined if the record does not tell, or the former primary is to be replaced. */
+	async findRecordedPrimary(closedTerm: StoredTerm): Promise<PromotedInstance | undefined> {
+		const ordered = this.#getOrderedPromotion(closedTerm);
+		if (ordered === 'unknown') {
+			return undefined;
 		}
 
-		const formerPrimary = readings.find(reading => reading.instance.id === closedTerm.primaryId && reading.status.role === 'primary');
-		if (formerPrimary?.instance.state === 'ready' && isResumed) {
-			// The earlier change was interrupted before any promotion, and the former primary is healthy.
-			return formerPrimary;
+		const named = this.dependencies.instances.getInstance(ordered === 'none' ? getFormerPrimaryId(closedTerm) : ordered.instanceId);
+		return this.#findRecordedPrimary(closedTerm, ordered, named === undefined ? [] : await this.dependencies.statusReader.readStatuses([named]));
+	}
+
+	/**
+	 * Promotes the most advanced instance, recording each order before it is given.
+	 * @param isResumed - Whether an earlier attempt was interrupted; the former primary is a candidate then.
+	 * @returns The new primary, undefined if none could be promoted.
+	 */
+	async promoteSuccessor(closedTerm: StoredTerm, isResumed: boolean): Promise<PromotedInstance | undefined> {
+		const readings = await this.dependencies.statusReader.readStatuses(this.dependencies.instances.getGroupInstances(closedTerm.group));
+		const settled = isResumed ? this.#findSettledPrimary(closedTerm, readings) : undefined;
+		if (settled !== undefined) {
+			return settled;
 		}
 
-		const position = formerPrimary?.status.position ?? this.#getCutOffPosition(closedTerm);
-		const candidates = this.#rankCandidates(closedTerm, readings.filter(reading => reading.instance.id !== closedTerm.primaryId && reading.instance.state === 'ready'), position !== undefined);
+		const formerId = getFormerPrimaryId(closedTerm);
+		const position = readings.find(({instance, status}) => instance.id === formerId && status.role === 'primary')?.status.position ?? this.#getCutOffPosition(closedTerm);
+		const candidates = this.#rankCandidates(closedTerm, readings.filter(({instance}) => instance.state === 'ready' && (isResumed || instance.id !== formerId)), {isResumed, canCatchUp: position !== undefined});
+		let term = closedTerm;
 		for (const [index, candidate] of candidates.entries()) {
 			const isPreferredByRegion = candidates.slice(index + 1).some(other => comparePositions(other.status.position, candidate.status.position) > 0);
 			const hasCaughtUp = position === undefined || await this.#waitForCatchUp(candidate, position, isPreferredByRegion ? preferredCatchUpTimeoutMs : catchUpTimeoutMs);
-			if (isPreferredByRegion && !hasCaughtUp) {
+			if ((isPreferredByRegion && !hasCaughtUp) || !this.#canPromote(candidate.instance)) {
 				// A more advanced instance follows, and only one that has caught up may come before it.
 				continue;
 			}
 
-			const promoted = await this.#promote(closedTerm, candidate.instance);
+			const order = {instanceId: candidate.instance.id, instanceTerm: candidate.status.term};
+			const orderedTerm = await this.dependencies.termWriter.recordOrder(term, order);
+			if (orderedTerm === undefined) {
+				return undefined;
+			}
+
+			term = orderedTerm;
+			const promoted = await this.#promote(term.group, candidate, order);
 			if (promoted !== undefined) {
-				return promoted;
+				return {...promoted, revision: term.revision};
 			}
 		}
 
 		return undefined;
 	}
 
+	#getOrderedPromotion({promotion}: StoredTerm): OrderedPromotion {
+		return getOrderedPromotion(promotion, this.dependencies.coordinatorLease.token);
+	}
+
+	/** Finds the primary from the record or, where it is incomplete, from the answers of all instances. */
+	#findSettledPrimary(closedTerm: StoredTerm, readings: readonly InstanceWithStatus[]): PromotedInstance | undefined {
+		const ordered = this.#getOrderedPromotion(closedTerm);
+		if (ordered !== 'unknown') {
+			return this.#findRecordedPrimary(closedTerm, ordered, readings);
+		}
+
+		const expectedCount = this.dependencies.groupSizes.countInstances(closedTerm.group);
+		return this.#createResumed(closedTerm, ordered, readings, findSurveyedPrimary(createRoles(readings), expectedCount));
+	}
+
+	#findRecordedPrimary(closedTerm: StoredTerm, ordered: Exclude<OrderedPromotion, 'unknown'>, readings: readonly InstanceWithStatus[]): PromotedInstance | undefined {
+		const former = {id: getFormerPrimaryId(closedTerm), term: closedTerm.term};
+		return this.#createResumed(closedTerm, ordered, readings, findRecordedPrimary(former, ordered, createRoles(readings)));
+	}
+
+	/** Logs how an interrupted change goes on, and returns the primary that was found; a former one that leaves is replaced instead. */
+	#createResumed(closedTerm: StoredTerm, ordered: OrderedPromotion, readings: readonly InstanceWithStatus[], found: InstanceRole | undefined): PromotedInstance | undefined {
+		const reading = readings.find(({instance}) => instance.id === found?.id && (instance.state === 'ready' || instance.id !== getFormerPrimaryId(closedTerm)));
+		this.dependencies.log.logEvent('promotion.resumed', {
+			group: closedTerm.group, term: closedTerm.term, ordered: typeof ordered === 'string' ? ordered : ordered.instanceId, answers: readings.length, primary: reading?.instance.id,
+		});
+		return reading === undefined ? undefined : {...reading, revision: closedTerm.revision};
+	}
+
 	/** Ranks the candidates for the next primary of a group; of equal ones, those that are not cold come first. */
-	#rankCandidates({group, primaryId}: GroupTerm, readings: readonly InstanceWithStatus[], canCatchUp: boolean): InstanceWithStatus[] {
+	#rankCandidates(closedTerm: StoredTerm, readings: readonly InstanceWithStatus[], {isResumed, canCatchUp}: {readonly isResumed: boolean; readonly canCatchUp: boolean}): InstanceWithStatus[] {
 		const {regions, instances, coordinator, clock} = this.dependencies;
 		const now = clock.now();
 		const getRegion = (instance: Instance | undefined) => instance === undefined ? undefined : regions.get(instance.zone);
 		const isCold = ({instance}: InstanceWithStatus) => Number(instances.isCold(instance.id, now));
 		const candidates = readings.toSorted((a, b) => isCold(a) - isCold(b)).map(reading => ({reading, position: reading.status.position, region: getRegion(reading.instance)}));
-		return rankSuccessors(candidates, {
-			canCatchUp, formerRegion: getRegion(instances.getInstance(primaryId)), writesPerS: coordinator.sumWritesByRegion(group),
+		const ranked = rankSuccessors(candidates, {
+			canCatchUp, formerRegion: getRegion(instances.getInstance(getFormerPrimaryId(closedTerm))), writesPerS: coordinator.sumWritesByRegion(closedTerm.group),
 		}).map(({reading}) => reading);
+		return isResumed ? rankResumedCandidates(createRoles(ranked), closedTerm.term, this.#getPendingOrder(closedTerm)?.instanceId).map(({reading}) => reading) : ranked;
+	}
+
+	/** Returns the last order if another coordinator gave it, so that it may still take effect; this one has waited for its own orders. */
+	#getPendingOrder({promotion}: StoredTerm): PromotionOrder | undefined {
+		return promotion?.token === this.dependencies.coordinatorLease.token ? undefined : promotion?.order;
 	}
 
 	/** Returns the newest known position of a primary that cannot be asked because its zone is evacuated, undefined for any other primary. */
-	#getCutOffPosition({group, primaryId}: GroupTerm): LogPosition | undefined {
+	#getCutOffPosition(closedTerm: StoredTerm): LogPosition | undefined {
 		const {instances, guard, terms} = this.dependencies;
-		const primary = instances.getInstance(primaryId);
-		return primary !== undefined && guard.isCutOff(primary) ? terms.getNewestPosition(group)?.position : undefined;
+		const primary = instances.getInstance(getFormerPrimaryId(closedTerm));
+		return primary !== undefined && guard.isCutOff(primary) ? terms.getNewestPosition(closedTerm.group)?.position : undefined;
 	}
 
 	/** Waits until a candidate has the log up to a position; returns whether it has. */
@@ -112,27 +173,30 @@
 		return reading !== undefined && comparePositions(reading.status.position, position) >= 0;
 	}
 
-	/** Promotes an instance and waits until it is the primary; returns undefined if the request is rejected, the lease is about to expire, the zone of the instance is evacuated, or the time is up. */
-	async #promote(closedTerm: GroupTerm, instance: Instance): Promise<InstanceWithStatus | undefined> {
-		const deadline = this.dependencies.clock.now() + promotionEffectTimeoutMs;
-		while (this.dependencies.clock.now() < deadline) {
-			// The zone of the instance may have been evacuated since it was chosen.
-			if (this.dependencies.coordinatorLease.getRemainingMs() < minRemainingLeaseMs || this.dependencies.guard.getAccess(instance) !== 'all') {
-				return undefined;
-			}
+	/** Returns whether an instance may be promoted now: the lease is not about to expire, and the zone of the instance, which may have been evacuated since it was chosen, is not. */
+	#canPromote(instance: Instance): boolean {
+		return this.dependencies.coordinatorLease.getRemainingMs() >= minRemainingLeaseMs && this.dependencies.guard.getAccess(instance) === 'all';
+	}
 
-			const result = await this.dependencies.promotionService.promote({
-				group: closedTerm.group, instanceId: instance.id, holder: this.dependencies.vm, fencingToken: this.dependencies.coordinatorLease.token,
+	/** Orders a promotion and waits until the instance is the primary; returns undefined if the request is rejected, the instance may not be promoted any more, or the time is up. */
+	async #promote(group: string, candidate: InstanceWithStatus, order: PromotionOrder): Promise<InstanceWithStatus | undefined> {
+		const {clock, promotionService, coordinatorLease, vm, log} = this.dependencies;
+		const {instance} = candidate;
+		const deadline = clock.now() + promotionEffectTimeoutMs;
+		while (clock.now() < deadline && this.#canPromote(instance)) {
+			const {token} = coordinatorLease;
+			const result = await promotionService.promote({
+				group, instanceId: instance.id, holder: vm, fencingToken: token,
 			}, promoteTimeoutMs);
-			this.dependencies.log.logEvent('promotion.ordered', {
-				group: closedTerm.group, instance: instance.id, token: this.dependencies.coordinatorLease.token, result,
+			log.logEvent('promotion.ordered', {
+				group, instance: instance.id, token, result,
 			});
 			if (result === 'rejected') {
 				return undefined;
 			}
 
 			if (result === 'accepted') {
-				return this.#waitUntilPrimary(closedTerm, instance, deadline);
+				return this.#waitUntilPrimary(candidate, order, deadline);
 			}
 
 			await delay(pollIntervalMs);
@@ -141,10 +205,12 @@
 		return undefined;
 	}
 
-	async #waitUntilPrimary(closedTerm: GroupTerm, instance: Instance, deadline: number): Promise<InstanceWithStatus | undefined> {
-		while (this.dependencies.clock.now() < deadline) {
-			const reading = await this.dependencies.statusReader.readStatusWithRetry(instance);
-			if (reading?.status.role === 'primary' && reading.status.term > closedTerm.term) {
+	async #waitUntilPrimary({instance, status: {role}}: InstanceWithStatus, order: PromotionOrder, deadline: number): Promise<InstanceWithStatus | undefined> {
+		const {clock, statusReader} = this.dependencies;
+		const acceptedAt = clock.now();
+		while (clock.now() < Math.max(deadline, acceptedAt + confirmationMs + pollIntervalMs)) {
+			const reading = await statusReader.readStatusWithRetry(instance);
+			if (reading !== undefined && isOrderComplete(order, role === 'primary', reading.status, clock.now() - acceptedAt)) {
 				return reading;
 			}
 
@@ -160,6 +226,20 @@
 	return readings.filter(reading => reading.status.role === 'primary').toSorted((a, b) => b.status.term - a.status.term)[0];
 }
 
+function createRoles(readings: readonly InstanceWithStatus[]): Array<InstanceRole & {readonly reading: InstanceWithStatus}> {
+	return readings.map(reading => {
+		const {instance: {id}, status: {role, term}} = reading;
+		return {
+			id, role, term, reading,
+		};
+	});
+}
+
+/** Returns the id of the primary of a closed term, which its row names only until a promotion is ordered. */
+function getFormerPrimaryId({primaryId, promotion}: StoredTerm): string {
+	return promotion?.formerPrimaryId ?? primaryId;
+}
+
 async function delay(ms: number): Promise<void> {
 	await new Promise(resolve => {
 		setTimeout(resolve, ms);
--- a/packages/gateway/src/positions/position-surveyor.ts
+++ b/packages/gateway/src/positions/position-surveyor.ts
@@ -1,5 +1,5 @@
 import {findSurveyedPosition} from '@chicorysaddle/decisions';
-import {type InstanceRegistry} from '../instances/index.js';
+import {type GroupSizes, type InstanceRegistry} from '../instances/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock} from '../ports/index.js';
 import {type TermRegistry} from '../terms/index.js';
@@ -11,36 +11,24 @@
 /** Time after a survey without a result before the instances are asked again, in milliseconds. */
 const failureBackoffMs = 300;
 
-/** Time for which a group counts as having the number of instances that were listed, in milliseconds; one that has gone may return meanwhile. */
-const countRetentionMs = 60_000;
-
 /** Dependencies of a `PositionSurveyor`. */
 export type PositionSurveyorDependencies = {
 	readonly statusReader: InstanceStatusReader;
 	readonly terms: TermRegistry;
 	readonly instances: InstanceRegistry;
+	readonly groupSizes: GroupSizes;
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
 };
 
-type GroupSize = {count: number; at: number};
-
 /** Learns log positions of primaries from all instances of a group, for reads that a replica may serve while this VM cannot renew its term lease. */
 export class PositionSurveyor {
 	readonly #running = new Map<string, Promise<void>>();
 	/** Monotonic times before which no survey of a group begins, in milliseconds. */
 	readonly #backoffUntil = new Map<string, number>();
-	/** Largest number of listed instances of each group, and when they were last seen, in milliseconds. */
-	readonly #sizes = new Map<string, GroupSize>();
 
-	constructor(private readonly dependencies: PositionSurveyorDependencies) {
-		dependencies.instances.onChanged((_before, after) => {
-			if (after !== undefined) {
-				this.#updateSize(after.group);
-			}
-		});
-	}
+	constructor(private readonly dependencies: PositionSurveyorDependencies) {}
 
 	/** Asks the instances of a group for the position of its primary, unless they were asked in vain just before; the term registry has it afterwards if they agree. */
 	async probePosition(group: string): Promise<void> {
@@ -61,14 +49,13 @@
 	}
 
 	async #survey(group: string): Promise<void> {
-		const {statusReader, terms, instances, clock, log, metrics} = this.dependencies;
+		const {statusReader, terms, instances, groupSizes, clock, log, metrics} = this.dependencies;
 		const term = terms.getTerm(group);
 		if (term?.phase !== 'open') {
 			return;
 		}
 
-		this.#updateSize(group);
-		const expectedCount = this.#sizes.get(group)!.count;
+		const expectedCount = groupSizes.countInstances(group);
 		const startedAt = clock.now();
 		const readings = await Promise.all([...instances.getGroupInstances(group)].map(async instance => statusReader.readStatus(instance, statusTimeoutMs)));
 		const answers = readings.flatMap(reading => typeof reading === 'string' ? [] : [{id: reading.instance.id, ...reading.status}]);
@@ -84,14 +71,4 @@
 			terms.recordPosition(group, position, startedAt);
 		}
 	}
-
-	/** Updates the largest number of listed instances of a group. */
-	#updateSize(group: string): void {
-		const now = this.dependencies.clock.now();
-		const count = [...this.dependencies.instances.getGroupInstances(group)].length;
-		const known = this.#sizes.get(group);
-		if (known === undefined || count >= known.count || now - known.at > countRetentionMs) {
-			this.#sizes.set(group, {count, at: now});
-		}
-	}
 }
--- a/packages/gateway/src/tests/fakes/fake-database.ts
+++ b/packages/gateway/src/tests/fakes/fake-database.ts
@@ -39,6 +39,8 @@
 	handshakeMs?: number;
 	/** Availability zones of the instances, in order; all in zone `a` if absent. */
 	zones?: readonly string[];
+	/** Time after which a former primary that reaches its successor becomes a replica, in milliseconds; never if absent. */
+	stepDownMs?: number;
 };
 
 /** A connection attempt or a statement, as sent by a VM to a fake instance. */
@@ -61,9 +63,20 @@
 	isAlive = true;
 	zone = 'a';
 	readonly connections = new Set<FakeConnection>();
+	#isDark = false;
 
 	constructor(readonly id: string, readonly database: FakeDatabase) {}
 
+	/** Whether nothing gets through to the instance or from it, while its process runs. */
+	get isDark(): boolean {
+		return this.#isDark;
+	}
+
+	set isDark(isDark: boolean) {
+		this.#isDark = isDark;
+		this.database.scheduleStepDowns();
+	}
+
 	#occupiedSlots = 0;
 	readonly #queue: Array<() => void> = [];
 
@@ -99,10 +112,15 @@
 	restart(): void {
 		this.isAlive = true;
 		if (this.database.term > this.term) {
-			this.role = 'replica';
-			this.term = this.database.term;
+			this.followPrimary();
 		}
 	}
+
+	/** Becomes a replica in the newest term; keeps its log. */
+	followPrimary(): void {
+		this.role = 'replica';
+		this.term = this.database.term;
+	}
 }
 
 /** In-memory group of instances, with its promotion service. */
@@ -139,7 +157,7 @@
 
 	/** Returns whether a VM and an instance cannot reach each other. */
 	isUnreachable(vm: string, instance: FakeInstance): boolean {
-		return this.unreachablePairs.has(`${vm} ${instance.id}`);
+		return instance.isDark || this.unreachablePairs.has(`${vm} ${instance.id}`);
 	}
 
 	recordEvent(event: Omit<DatabaseEvent, 'at'>): void {
@@ -160,7 +178,7 @@
 		for (const replica of this.instances) {
 			if (replica !== instance && replica.role === 'replica') {
 				setTimeout(() => {
-					if (instance.isAlive && replica.isAlive && replica.role === 'replica' && comparePositions(position, replica.position) > 0 && instance.term >= replica.term) {
+					if (instance.isAlive && replica.isAlive && !instance.isDark && !replica.isDark && replica.role === 'replica' && comparePositions(position, replica.position) > 0 && instance.term >= replica.term) {
 						replica.position = position;
 					}
 				}, this.options.lagMs);
@@ -193,9 +211,29 @@
 					other.position = target.position;
 				}
 			}
+
+			this.scheduleStepDowns();
 		}, this.options.promoteMs);
 		return 'accepted';
 	}
+
+	/** Makes former primaries replicas after the step-down time, if they and their successor are reachable then. */
+	scheduleStepDowns(): void {
+		const {stepDownMs} = this.options;
+		if (stepDownMs === undefined) {
+			return;
+		}
+
+		setTimeout(() => {
+			const {primary} = this;
+			for (const former of this.instances) {
+				if (former.role === 'primary' && former.term < primary.term && [former, primary].every(({isAlive, isDark}) => isAlive && !isDark)) {
+					former.followPrimary();
+					former.position = primary.position;
+				}
+			}
+		}, stepDownMs);
+	}
 }
 
 /** Connects one VM to the fake instances of several groups. */
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -8,7 +8,7 @@
 import {
 	Forwarding, ForwardingClient, ForwardingServer, GatewayDirectory,
 } from '../forwarding/index.js';
-import {InstanceWatcher, InstanceRegistry} from '../instances/index.js';
+import {GroupSizes, InstanceWatcher, InstanceRegistry} from '../instances/index.js';
 import {Gateway} from '../lifecycle/index.js';
 import {AccountLimiter} from '../limits/index.js';
 import {
@@ -56,6 +56,7 @@
 	const configuration = new ConfigurationView();
 	const configurationWatcher = new ConfigurationWatcher(store, configuration, Math.random, log);
 	const instances = new InstanceRegistry(log);
+	const groupSizes = new GroupSizes(instances, clock);
 	const instanceWatcher = new InstanceWatcher(store, instances, clock, Math.random, log);
 	const terms = new TermRegistry(clock, log, metrics);
 	const evacuations = new EvacuationRegistry(clock);
@@ -98,10 +99,10 @@
 	});
 	const statusReader = new InstanceStatusReader({guard, connector, clock});
 	const termWriter = new TermWriter({
-		coordinatorLease, coordinator, terms, store,
+		coordinatorLease, coordinator, terms, store, log,
 	});
 	const successorPromoter = new SuccessorPromoter({
-		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, guard, statusReader, promotionService: promotion, clock, log,
+		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, groupSizes, guard, statusReader, termWriter, promotionService: promotion, clock, log,
 	});
 	const promoter = new Promoter({
 		vm: identity.vm, coordinatorLease, coordinator, terms, instances, guard, configuration, dispatcher, store, statusReader, termWriter, successorPromoter, clock, log, metrics,
@@ -117,7 +118,7 @@
 	});
 	const sessionDependencies: SessionDependencies = {
 		configuration, dispatcher, limiter, transactionReservation: new TransactionReservation(), terms, clock, log, metrics, forwarding, surveyor: new PositionSurveyor({
-			statusReader, terms, instances, clock, log, metrics,
+			statusReader, terms, instances, groupSizes, clock, log, metrics,
 		}),
 	};
 	return {
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -151,6 +151,12 @@
 	'promotion.begun': {
 		importance: 'state', scope: 'cluster', isPossibleCause: true, description: 'a change of primary begins, and the reason', fields: {...termFields, reason: 'string', token: 'number?'},
 	},
+	'promotion.resumed': {
+		importance: 'state', scope: 'cluster', isPossibleCause: true, description: 'an interrupted change of primary goes on: the last promotion that its row records, the number of instances that answered, and the primary if that settles it',
+		fields: {
+			group: 'string', term: 'number', ordered: 'string', answers: 'number', primary: 'string?',
+		},
+	},
 	'promotion.ordered': {
 		importance: 'state', scope: 'cluster', isPossibleCause: true, description: 'an instance was told to become primary, and its response',
 		fields: {
