Coordinator: a write that is read back has the version of its own row, and rows written late are adopted

Cause: a write of the term row whose answer was lost was performed seconds later. The coordinator never adopted that row, and when its next write of the same content was read back it took the version of its own row for that of the term. The write that opens the successor's term could then never meet its condition, and the VMs knew a revision that the row never had.

Change: writes return a version for each row; rows that are read back are adopted by the TermWriter; the condition of a closing write is the version of the row that was read, if its content is the known one. StoreRecovery, which gave one version to a batch of rows, had the same fault.

Why this works: only the coordinator writes term rows, under its lease, so a row newer than it knows is its own late write, and its record says how far the change went. A renewal that succeeds rules later performances out.

--- a/packages/gateway/src/coordination/coordinator-lease.ts
+++ b/packages/gateway/src/coordination/coordinator-lease.ts
@@ -1,11 +1,11 @@
 import {DualClockLease, type ClockReading} from '@chicorysaddle/decisions';
 import {type EventLog} from '../observability/index.js';
 import {
-	type Clock, type CoordinationStore, getEra, type SharedRowWrite, type StoreVersion,
+	type Clock, type CoordinationStore, getEra, type SharedRow, type SharedRowWrite, type StoreVersion,
 } from '../ports/index.js';
 import {type GatewayIdentity} from './gateway-identity.js';
 import {
-	coordinatorKey, type CoordinatorRow, isRestored, parseSharedRows,
+	coordinatorKey, type CoordinatorRow, isRestored, parseSharedRows, type SharedState,
 } from './shared-rows.js';
 
 /** Duration of the lease after its last renewal, in milliseconds: a shorter store outage interrupts nothing. */
@@ -29,6 +29,9 @@
 /** Timeout of a call to the store, in milliseconds. */
 const callTimeoutMs = 800;
 
+/** Versions of rows after a write, by key; 0 for a deleted row. */
+export type WrittenVersions = ReadonlyMap<string, StoreVersion>;
+
 /** Lease on the row that names the coordinator: acquires, renews and releases it for this VM. */
 export class CoordinatorLease {
 	readonly #lease = new DualClockLease(leaseDurationMs);
@@ -51,9 +54,15 @@
 	#lastEndedToken = 0;
 	/** Number of times this process acquired, resumed or ended the lease. */
 	#transitionCount = 0;
+	readonly #readBackListeners: Array<(state: SharedState) => void> = [];
 
 	constructor(private readonly store: CoordinationStore, private readonly identity: GatewayIdentity, private readonly clock: Clock, private readonly log: EventLog) {}
 
+	/** Adds a listener that is called with the rows that are read after a write of this VM without a known outcome: the store may have performed an earlier one late. */
+	onReadBack(listener: (state: SharedState) => void): void {
+		this.#readBackListeners.push(listener);
+	}
+
 	/** Fencing token of the held lease, 0 when this VM does not hold it. */
 	get token(): number {
 		return this.#heldRow?.token ?? 0;
@@ -183,9 +192,9 @@
 
 	/**
 	 * Writes rows only if this VM still holds the lease; the same write renews the lease.
-	 * @returns The version of the written rows, undefined if no write is known to have succeeded.
+	 * @returns The versions that the rows have now, undefined if the writes are not known to have succeeded.
 	 */
-	async writeRowsIfHeld(writes: readonly SharedRowWrite[]): Promise<number | undefined> {
+	async writeRowsIfHeld(writes: readonly SharedRowWrite[]): Promise<WrittenVersions | undefined> {
 		return this.#runExclusively(async () => this.#writeAndRenew(writes));
 	}
 
@@ -214,8 +223,8 @@
 		}
 	}
 
-	/** Writes rows together with the row of the lease; returns their version, undefined if no write is known to have succeeded. */
-	async #writeAndRenew(writes: readonly SharedRowWrite[]): Promise<number | undefined> {
+	/** Writes rows together with the row of the lease; returns their versions, undefined if the writes are not known to have succeeded. */
+	async #writeAndRenew(writes: readonly SharedRowWrite[]): Promise<WrittenVersions | undefined> {
 		const held = this.#heldRow;
 		if (held === undefined) {
 			return undefined;
@@ -225,41 +234,52 @@
 		const at = this.#getClockReading();
 		const result = await this.store.writeSharedRows([{key: coordinatorKey, expectedVersion: version, value: JSON.stringify({...content, era: this.#getRowEra()})}, ...writes], callTimeoutMs);
 		if (result.kind === 'ok' && result.value.isApplied) {
-			this.#setHeldRow({...held, version: result.value.version}, at);
-			return result.value.version;
+			const {version: writtenVersion} = result.value;
+			this.#setHeldRow({...held, version: writtenVersion}, at);
+			return new Map(writes.map(({key, value}) => [key, value === undefined ? 0 : writtenVersion]));
 		}
 
 		this.#renewalIntervalStartedAt = this.clock.now() - renewalIntervalMs + renewalRetryMs;
 		this.#unconfirmedWriteAt ??= at;
-		const outcome = await this.#readBackOutcome(held);
-		const isWritten = outcome !== undefined && writes.length > 0 && writes.every(write => outcome.rows.get(write.key) === write.value);
-		return isWritten ? outcome.version : undefined;
+		const rows = await this.#readBackRows(held);
+		const isWritten = rows !== undefined && writes.every(({key, value}) => rows.get(key)?.value === value);
+		// The rows may be older than that of the lease, which is renewed alone too.
+		return isWritten ? new Map(writes.map(({key}) => [key, rows.get(key)?.version ?? 0])) : undefined;
 	}
 
 	/** Reads the rows back after a write that may have been applied; returns undefined if the read fails, or if another VM holds the lease, and then ends it here. */
-	async #readBackOutcome(held: CoordinatorRow): Promise<{readonly version: number; readonly rows: ReadonlyMap<string, string>} | undefined> {
+	async #readBackRows(held: CoordinatorRow): Promise<ReadonlyMap<string, SharedRow> | undefined> {
 		const result = await this.store.readSharedRows(callTimeoutMs);
 		if (result.kind === 'failed') {
 			return undefined;
 		}
 
-		const {coordinator: currentRow} = parseSharedRows(result.value, this.log);
-		const rows = new Map(result.value.map(row => [row.key, row.value]));
+		const state = parseSharedRows(result.value, this.log);
+		const isHeld = await this.#reconcileHeldRow(held, state.coordinator);
+		for (const listener of this.#readBackListeners) {
+			listener(state);
+		}
+
+		return isHeld ? new Map(result.value.map(row => [row.key, row])) : undefined;
+	}
+
+	/** Brings the held row in line with the row in the store; returns whether this VM still holds the lease, and ends it here otherwise. */
+	async #reconcileHeldRow(held: CoordinatorRow, currentRow: CoordinatorRow | undefined): Promise<boolean> {
 		if (this.isHeld() && this.store.era > getEra(held.version) && (currentRow?.token ?? 0) <= held.token) {
 			// The store lost the row or its renewals; while the lease lasts, no other VM can have acquired it.
-			return await this.#rewriteRow(held, currentRow) ? {version: this.version, rows} : undefined;
+			return this.#rewriteRow(held, currentRow);
 		}
 
 		if (currentRow?.incarnation !== this.identity.incarnation || currentRow.token !== held.token) {
 			this.end('another VM holds it');
-			return undefined;
+			return false;
 		}
 
 		if (currentRow.version !== held.version) {
 			this.#setHeldRow(currentRow, this.#unconfirmedWriteAt!);
 		}
 
-		return {version: currentRow.version, rows};
+		return true;
 	}
 
 	/** Writes the row again after the store returned from an older copy; returns whether that succeeded. */
--- a/packages/gateway/src/coordination/member-registrar.ts
+++ b/packages/gateway/src/coordination/member-registrar.ts
@@ -88,12 +88,12 @@
 	async #writeInBatches(writes: readonly SharedRowWrite[], onWritten: (batch: readonly SharedRowWrite[], version: number) => void): Promise<void> {
 		for (let start = 0; start < writes.length; start += maxRowsPerWrite) {
 			const batch = writes.slice(start, start + maxRowsPerWrite);
-			const version = await this.dependencies.coordinatorLease.writeRowsIfHeld(batch);
-			if (version === undefined) {
+			const versions = await this.dependencies.coordinatorLease.writeRowsIfHeld(batch);
+			if (versions === undefined) {
 				return;
 			}
 
-			onWritten(batch, version);
+			onWritten(batch, Math.max(...versions.values()));
 		}
 	}
 }
--- a/packages/gateway/src/coordination/store-recovery.ts
+++ b/packages/gateway/src/coordination/store-recovery.ts
@@ -3,7 +3,9 @@
 import {type GroupTerm, type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
-import {createTermWrite, maxRowsPerWrite, parseSharedRows} from './shared-rows.js';
+import {
+	createTermWrite, getTermKey, maxRowsPerWrite, parseSharedRows,
+} from './shared-rows.js';
 
 /** Timeout of a read of the shared rows, in milliseconds. */
 const readTimeoutMs = 800;
@@ -58,18 +60,18 @@
 		});
 		for (let start = 0; start < rewritten.length; start += maxRowsPerWrite) {
 			const batch = rewritten.slice(start, start + maxRowsPerWrite);
-			const version = await coordinatorLease.writeRowsIfHeld(batch.map(term => createTermWrite(term, era, term.revision)));
-			if (version === undefined) {
+			const versions = await coordinatorLease.writeRowsIfHeld(batch.map(term => createTermWrite(term, era, term.revision)));
+			if (versions === undefined) {
 				return false;
 			}
 
 			for (const term of batch) {
-				terms.applyTerm({...term, revision: version});
+				terms.applyTerm({...term, revision: versions.get(getTermKey(term.group))!});
 			}
 
 			metrics.addCount('terms_rewritten');
 			log.logEvent('terms.rewritten', {
-				era, groups: batch.length, isContinued: String(isContinued), version,
+				era, groups: batch.length, isContinued: String(isContinued), version: Math.max(...versions.values()),
 			});
 		}
 
--- a/packages/gateway/src/coordination/term-writer.ts
+++ b/packages/gateway/src/coordination/term-writer.ts
@@ -5,7 +5,7 @@
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {
-	createTermWrite, noPrimaryId, parseSharedRows, type StoredTerm, type TermContent,
+	createTermWrite, getTermKey, noPrimaryId, parseSharedRows, type StoredTerm, type TermContent,
 } from './shared-rows.js';
 
 /** Timeout of a read of the rows, in milliseconds. */
@@ -22,7 +22,17 @@
 
 /** Reads and writes the rows of terms for the coordinator. */
 export class TermWriter {
-	constructor(private readonly dependencies: TermWriterDependencies) {}
+	/** Terms as they were in the store when this VM read or wrote their rows last. */
+	readonly #storedTerms = new Map<string, StoredTerm>();
+
+	constructor(private readonly dependencies: TermWriterDependencies) {
+		dependencies.coordinatorLease.onReadBack(({terms}) => {
+			for (const term of terms.values()) {
+				this.#storedTerms.set(term.group, term);
+				this.#applyAndReport(term);
+			}
+		});
+	}
 
 	/**
 	 * Opens a term and reports it to all VMs.
@@ -36,8 +46,9 @@
 	}
 
 	/** Closes a term and reports that to all VMs; returns undefined if the write is not known to have succeeded. */
-	async closeTerm({group, term, primaryId, revision}: GroupTerm, drainMs: number): Promise<StoredTerm | undefined> {
-		return this.#writeAndReport(group, revision, {
+	async closeTerm(openTerm: GroupTerm, drainMs: number): Promise<StoredTerm | undefined> {
+		const {group, term, primaryId} = openTerm;
+		return this.#writeAndReport(group, this.#getRowVersion(openTerm), {
 			term, primaryId, phase: 'closing', drainMs, promotion: {token: this.dependencies.coordinatorLease.token, formerPrimaryId: primaryId},
 		});
 	}
@@ -73,15 +84,29 @@
 
 	async #write(group: string, revision: number, content: TermContent): Promise<StoredTerm | undefined> {
 		const {coordinatorLease, store} = this.dependencies;
-		const version = await coordinatorLease.writeRowsIfHeld([createTermWrite({group, ...content}, store.era, revision)]);
-		return version === undefined ? undefined : {group, ...content, revision: version};
+		const versions = await coordinatorLease.writeRowsIfHeld([createTermWrite({group, ...content}, store.era, revision)]);
+		if (versions === undefined) {
+			return undefined;
+		}
+
+		const term = {group, ...content, revision: versions.get(getTermKey(group))!};
+		this.#storedTerms.set(group, term);
+		return term;
+	}
+
+	/** Returns the version of the row of a known term; a coordinator of a former build may have reported a later revision than the row has. */
+	#getRowVersion({group, term, primaryId, phase, revision}: GroupTerm): number {
+		const stored = this.#storedTerms.get(group);
+		return stored?.term === term && stored.primaryId === primaryId && stored.phase === phase ? Math.min(stored.revision, revision) : revision;
 	}
 
 	#applyAndReport({promotion, ...term}: StoredTerm): void {
-		const {terms, coordinator} = this.dependencies;
+		const {terms, coordinator, coordinatorLease} = this.dependencies;
 		if (term.revision > (terms.getTerm(term.group)?.revision ?? 0)) {
 			terms.applyTerm(term);
-			coordinator.pushReports();
+			if (coordinatorLease.isHeld()) {
+				coordinator.pushReports();
+			}
 		}
 	}
 }
--- a/packages/gateway/src/tests/coordination/coordinator-lease.test.ts
+++ b/packages/gateway/src/tests/coordination/coordinator-lease.test.ts
@@ -70,12 +70,33 @@
 	const lease = createLease(store, time, 'vm1');
 	await time.waitFor(lease.tryAcquire(undefined));
 	store.fault = 'answers-lost';
-	const version = await time.waitFor(lease.writeRowsIfHeld([{key: 'group/db', expectedVersion: 0, value: 'x'}]));
-	t.is(version, store.rows.get('group/db')!.version);
+	const versions = await time.waitFor(lease.writeRowsIfHeld([{key: 'group/db', expectedVersion: 0, value: 'x'}]));
+	t.is(versions?.get('group/db'), store.rows.get('group/db')!.version);
 	store.fault = 'none';
 	await time.waitFor(createLease(store, time, 'vm2').tryAcquire(readCoordinatorRow(store)));
-	t.is(await time.waitFor(lease.writeRowsIfHeld([{key: 'group/db', expectedVersion: version!, value: 'y'}])), undefined);
+	t.is(await time.waitFor(lease.writeRowsIfHeld([{key: 'group/db', expectedVersion: versions!.get('group/db')!, value: 'y'}])), undefined);
 	t.is(store.rows.get('group/db')!.value, 'x');
 	t.false(lease.isHeld());
 	time.stop();
 });
+
+// Guards against a row that can never be written again: the version of the lease's row was taken for that of a row which the store had written late.
+test.serial('a row that an earlier write without an answer has written late keeps its own version', async t => {
+	const [store, time] = [new FakeStore(), new VirtualTime()];
+	const lease = createLease(store, time, 'vm1');
+	await time.waitFor(lease.tryAcquire(undefined));
+	const write = {key: 'group/db', expectedVersion: 0, value: 'x'};
+	store.fault = 'silent';
+	store.getLateMs = () => 2000;
+	t.is(await time.waitFor(lease.writeRowsIfHeld([write])), undefined);
+	await time.advance(1000);
+	store.fault = 'none';
+	const {version} = store.rows.get('group/db')!;
+	await time.waitFor(lease.renew());
+	await time.waitFor(lease.renew());
+	t.true(store.rows.get('coordinator')!.version > version);
+	const versions = await time.waitFor(lease.writeRowsIfHeld([write]));
+	t.is(versions?.get('group/db'), version);
+	t.true((await time.waitFor(lease.writeRowsIfHeld([{...write, expectedVersion: version, value: 'y'}]))) !== undefined);
+	time.stop();
+});
--- a/packages/gateway/src/tests/coordination/interrupted-promotion.test.ts
+++ b/packages/gateway/src/tests/coordination/interrupted-promotion.test.ts
@@ -1,26 +1,7 @@
 import test from 'ava';
 import {type FakeInstance} from '../fakes/fake-database.js';
 import {statements, TestCluster, type TestCaller} from '../fakes/test-cluster.js';
-
-/** Sends writes through each session until a condition holds; returns whether it did in time. */
-async function writeUntil(cluster: TestCluster, callers: readonly TestCaller[], timeoutMs: number, isDone: () => boolean): Promise<boolean> {
-	const deadline = cluster.time.now() + timeoutMs;
-	const running = callers.map(async caller => {
-		while (cluster.time.now() < deadline && !isDone()) {
-			await caller.send(statements.write);
-			await new Promise(resolve => {
-				setTimeout(resolve, 50);
-			});
-		}
-	});
-	while (cluster.time.now() < deadline && !isDone()) {
-		await cluster.time.advance(5);
-	}
-
-	const isReached = isDone();
-	await cluster.time.waitFor(Promise.all(running));
-	return isReached;
-}
+import {isServed, writeUntil} from './write-load.js';
 
 /** Returns the commits of an instance in a term after a time. */
 function getCommits({events}: TestCluster['database'], {id}: FakeInstance, term: number, after: number) {
@@ -74,12 +55,6 @@
 	return {former, successor, promotedAt};
 }
 
-/** Writes until one is committed after the present time; returns whether that happened in time. */
-async function isServed(cluster: TestCluster, callers: readonly TestCaller[], timeoutMs: number): Promise<boolean> {
-	const from = cluster.time.now();
-	return writeUntil(cluster, callers, timeoutMs, () => cluster.database.events.some(({kind, at}) => kind === 'commit' && at > from));
-}
-
 for (const writer of ['the present build', 'a former build'] as const) {
 	// Guards against writes to a former primary: a coordinator that resumed the change took the former primary's answer for proof that no promotion had been ordered.
 	test.serial(`a former primary is not used again while the instance whose promotion was ordered does not answer, with a row of ${writer}`, async t => {
--- a/packages/gateway/src/tests/fakes/fake-store.ts
+++ b/packages/gateway/src/tests/fakes/fake-store.ts
@@ -26,6 +26,8 @@
 	readonly evacuatedZones = new Set<string>();
 	/** Changes of those rows in this era. */
 	readonly zoneChanges: Array<{readonly zone: string; readonly version: number}> = [];
+	/** Returns the time after which an unanswered write is performed if its condition still holds, in milliseconds; undefined if it never is. */
+	getLateMs: (writes: readonly SharedRowWrite[]) => number | undefined = () => undefined;
 	version = 0;
 	era = 0;
 	readonly pollWaiters = new Set<() => void>();
@@ -115,7 +117,7 @@
 	}
 
 	async writeSharedRows(writes: readonly SharedRowWrite[], timeoutMs: number): Promise<StoreResult<WriteResult>> {
-		return this.#call(timeoutMs, () => this.store.write(writes), true);
+		return this.#call(timeoutMs, () => this.store.write(writes), writes);
 	}
 
 	async readInstances(timeoutMs: number): Promise<StoreResult<readonly Instance[]>> {
@@ -175,17 +177,22 @@
 		return result.kind === 'ok' ? {kind: 'ok', value: {...result.value, evacuations: {isWhole: false, evacuated, ended}}} : result;
 	}
 
-	async #call<T>(timeoutMs: number, operation: () => T, isWrite = false): Promise<StoreResult<T>> {
+	async #call<T>(timeoutMs: number, operation: () => T, writes?: readonly SharedRowWrite[]): Promise<StoreResult<T>> {
 		const fault = this.store.fault === 'none' ? this.store.faultsByVm.get(this.vm) ?? 'none' : this.store.fault;
 		if (fault === 'busy') {
 			return {kind: 'failed', failure: {reason: 'busy', message: 'status 503'}};
 		}
 
-		if (fault === 'answers-lost' && isWrite) {
+		if (fault === 'answers-lost' && writes !== undefined) {
 			operation();
 		}
 
-		if (fault === 'silent' || (fault === 'answers-lost' && isWrite)) {
+		const lateMs = fault === 'silent' && writes !== undefined ? this.store.getLateMs(writes) : undefined;
+		if (lateMs !== undefined) {
+			setTimeout(operation, lateMs);
+		}
+
+		if (fault === 'silent' || (fault === 'answers-lost' && writes !== undefined)) {
 			await pause(timeoutMs);
 			return {kind: 'failed', failure: {reason: 'lost', message: 'no answer'}};
 		}
