Forwarding: a position precedes only the beginning of a transaction or a read outside of one

Cause: the entry VM filled the required position of a forwarded statement in from the acquired place, which keeps that of the transaction, and the gateway put any stated position before the statement.

Evidence: with a fake instance that takes the prefix only before BEGIN and reads, the new test got transaction-lost for the COMMIT; the same statements on a connection of the VM itself have the position at BEGIN alone.

Change: the entry VM states the position of the statement itself; the gateway ignores one for a statement of a begun transaction or one that is no read.

Why this works: both ends now decide by the statement, and either alone keeps a mixed pair of builds correct; the test runs with an entry VM of a former build too, and checks what a former gateway would be told.

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -405,7 +405,7 @@
 				this.dependencies.guard.recordUse(pool.instance);
 				entry.value.settle({kind: 'placed', placement: {pool, connection: idle, isPrimary}});
 			} else if (gateway !== undefined) {
-				entry.value.settle({kind: 'forwarded', placement: gateway.createPlacement(isPrimary, pool.tracker, entry.value.request.requiredPosition)});
+				entry.value.settle({kind: 'forwarded', placement: gateway.createPlacement(isPrimary, pool.tracker)});
 			}
 		}
 
--- a/packages/gateway/src/dispatch/placement-router.ts
+++ b/packages/gateway/src/dispatch/placement-router.ts
@@ -1,4 +1,3 @@
-import {type LogPosition} from '@chicorysaddle/model';
 import {type Instance} from '../instances/index.js';
 import {type ForwardRequest, type ForwardResult} from '../statements/index.js';
 import {type InstanceTracker} from './instance-tracker.js';
@@ -30,7 +29,7 @@
 	| {readonly kind: 'open'}
 	| {readonly kind: 'wait'}
 	/** Forwarding adds about `costMs` milliseconds. */
-	| {readonly kind: 'forward'; readonly costMs: number; readonly createPlacement: (isPrimary: boolean, tracker: InstanceTracker, requiredPosition: LogPosition | undefined) => RemotePlacement};
+	| {readonly kind: 'forward'; readonly costMs: number; readonly createPlacement: (isPrimary: boolean, tracker: InstanceTracker) => RemotePlacement};
 
 /** Decides between a connection of this VM and the gateway of an instance. */
 export type PlacementRouter = {
--- a/packages/gateway/src/forwarding/forwarding-client.ts
+++ b/packages/gateway/src/forwarding/forwarding-client.ts
@@ -1,4 +1,3 @@
-import {type LogPosition} from '@chicorysaddle/model';
 import {type ForwardedStatement, type ForwardMessage} from '@chicorysaddle/protocol/coordination';
 import {
 	type ConnectionShare, type InstanceTracker, type PlacementRoute, type PlacementRouter, type RemotePlacement,
@@ -22,8 +21,6 @@
 	readonly instance: Instance;
 	readonly isPrimary: boolean;
 	readonly tracker: InstanceTracker;
-	/** Log position that a replica must have reached. */
-	readonly requiredPosition: LogPosition | undefined;
 };
 
 /** Forwards operations to the gateways of instances with scarce connections. */
@@ -52,9 +49,7 @@
 		}
 
 		return {
-			kind: 'forward', costMs: link.estimateCostMs(), createPlacement: (isPrimary, tracker, requiredPosition) => this.#createPlacement(link, {
-				instance, isPrimary, tracker, requiredPosition,
-			}),
+			kind: 'forward', costMs: link.estimateCostMs(), createPlacement: (isPrimary, tracker) => this.#createPlacement(link, {instance, isPrimary, tracker}),
 		};
 	}
 
@@ -144,7 +139,7 @@
 
 	async #run({link, channel}: {readonly link: GatewayLink; readonly channel: GatewayChannel}, target: RemoteTarget, request: ForwardRequest, ids: {readonly id: number; readonly transaction: number | undefined}): Promise<ForwardResult> {
 		const {terms, clock, metrics} = this.dependencies;
-		const {instance: {id: instanceId, group}, isPrimary, requiredPosition} = target;
+		const {instance: {id: instanceId, group}, isPrimary} = target;
 		const sentAt = clock.now();
 		const {outgoing, prepared} = request;
 		const isPending = isPrimary && request.canCommit;
@@ -162,7 +157,7 @@
 			isPrimary,
 			statementId: outgoing.id,
 			statement: convertStatement(outgoing),
-			requiredPosition: isPrimary ? undefined : requiredPosition,
+			requiredPosition: outgoing.since,
 			commitAgeMs: request.committedAt === undefined ? undefined : sentAt - request.committedAt,
 			priority: request.priority,
 			waitMs: Math.max(0, request.waitDeadline - sentAt),
@@ -179,21 +174,21 @@
 			});
 		}
 
-		this.#recordResult(target, result, sentAt);
+		this.#recordResult(target, outgoing, result, sentAt);
 		this.#recordReplicaLag(target, request, result, sentAt);
 		return result;
 	}
 
 	/** Records what a result shows about the instance. */
-	#recordResult({tracker, isPrimary, instance, requiredPosition}: RemoteTarget, result: ForwardResult, sentAt: number): void {
+	#recordResult({tracker, isPrimary, instance}: RemoteTarget, {since}: OutgoingStatement, result: ForwardResult, sentAt: number): void {
 		const now = this.dependencies.clock.now();
 		if (result.kind === 'completed') {
 			tracker.recordOutcome(result, sentAt, now);
 			if (isPrimary && result.position !== undefined) {
 				this.dependencies.terms.recordPosition(instance.group, result.position, sentAt);
 			}
-		} else if (result.kind === 'not-run' && result.reason === 'lagging' && requiredPosition !== undefined) {
-			tracker.recordLagging(requiredPosition, now);
+		} else if (result.kind === 'not-run' && result.reason === 'lagging' && since !== undefined) {
+			tracker.recordLagging(since, now);
 		}
 	}
 
--- a/packages/gateway/src/forwarding/forwarding-server.ts
+++ b/packages/gateway/src/forwarding/forwarding-server.ts
@@ -5,7 +5,7 @@
 import {type InstanceRegistry} from '../instances/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock, type PeerLink} from '../ports/index.js';
-import {type StatementRunner} from '../sessions/index.js';
+import {canRequirePosition, type StatementRunner} from '../sessions/index.js';
 import {type OutgoingStatement, type RunResult} from '../statements/index.js';
 import {isCommitAnswered} from './forwarding-client.js';
 import {type GatewayDirectory} from './gateway-directory.js';
@@ -199,8 +199,7 @@
 
 	async #runStatement(link: PeerLink, state: LinkState, statement: RemoteStatement): Promise<ForwardOutcome> {
 		const {message} = statement;
-		const isContinued = message.transaction !== undefined && message.statement.kind !== 'control-begin';
-		if (isContinued) {
+		if (isContinued(message)) {
 			return this.#runInTransaction(state, statement);
 		}
 
@@ -258,10 +257,12 @@
 
 	async #run(state: LinkState, statement: RemoteStatement, placement: Placement): Promise<RunResult> {
 		const {message, receivedAt} = statement;
+		// A former build states the position of a transaction with each of its statements.
+		const isPositioned = !placement.isPrimary && !isContinued(message) && canRequirePosition(message.statement, message.prepared);
 		const outgoing: OutgoingStatement = {
 			statement: message.statement,
 			...(message.statementId !== undefined && {id: message.statementId}),
-			...(!placement.isPrimary && message.requiredPosition !== undefined && {since: message.requiredPosition}),
+			...(isPositioned && message.requiredPosition !== undefined && {since: message.requiredPosition}),
 		};
 		const operation = {
 			route: {group: message.group}, session: state.sessions.getSession(message), lastCommit: message.requiredPosition, lastCommitAt: getCommittedAt(statement), isForwarded: true, mayHaveRun: false,
@@ -419,6 +420,11 @@
 	}
 }
 
+/** Returns whether a statement belongs to a transaction that has begun. */
+function isContinued({transaction, statement}: ForwardMessage): boolean {
+	return transaction !== undefined && statement.kind !== 'control-begin';
+}
+
 /** Returns the time at which the session's own commit that a read requires was acknowledged, in milliseconds; undefined if it requires none. */
 function getCommittedAt({message: {commitAgeMs}, receivedAt}: RemoteStatement): number | undefined {
 	return commitAgeMs === undefined ? undefined : receivedAt - commitAgeMs;
--- a/packages/gateway/src/sessions/statement-runner.ts
+++ b/packages/gateway/src/sessions/statement-runner.ts
@@ -165,6 +165,11 @@
 	}
 }
 
+/** Returns whether an instance may be required to have reached a position before it runs a statement: only before a read and the beginning of a transaction. */
+export function canRequirePosition({kind}: OutgoingStatement['statement'], prepared: Pick<PreparedStatement, 'access'> | undefined): boolean {
+	return kind === 'control-begin' || kind === 'read' || (kind === 'execute' && prepared?.access === 'read');
+}
+
 /** Returns whether a statement of a caller may change data. */
 export function isWriteStatement(statement: Statement, prepared: PreparedStatement | undefined): boolean {
 	return statement.kind === 'write' || prepared?.access === 'write';
--- a/packages/gateway/src/tests/fakes/fake-database.ts
+++ b/packages/gateway/src/tests/fakes/fake-database.ts
@@ -53,6 +53,9 @@
 	readonly kind: string;
 };
 
+/** Kinds of statements that a position may precede. */
+const positionedKinds: ReadonlySet<string> = new Set(['begin', 'control-begin', 'read', 'execute']);
+
 const connectDelayMs = 2;
 
 /** Fake instance of a group. */
@@ -129,6 +132,8 @@
 	readonly events: DatabaseEvent[] = [];
 	/** Everything that was sent to the instances; a status request arrives as `control-status`. */
 	readonly arrivals: DatabaseArrival[] = [];
+	/** Kinds of the statements that a position preceded. */
+	readonly positionedStatements: string[] = [];
 	readonly promotionRequests: PromotionRequest[] = [];
 	/** Completed promotions, with the log position of the new primary at that time. */
 	readonly promotions: Array<{readonly at: number; readonly term: number; readonly position: LogPosition}> = [];
@@ -406,6 +411,14 @@
 	}
 
 	#apply({id, statement, since}: OutgoingStatement): StatementOutcome {
+		if (since !== undefined) {
+			this.instance.database.positionedStatements.push(statement.kind);
+		}
+
+		if (since !== undefined && !positionedKinds.has(statement.kind)) {
+			return this.#refuse('malformed');
+		}
+
 		if (since !== undefined && comparePositions(this.instance.position, since) < 0) {
 			return this.#refuse('lagging');
 		}
--- a/packages/gateway/src/tests/forwarding/forwarded-transactions.test.ts
+++ b/packages/gateway/src/tests/forwarding/forwarded-transactions.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {type LogPosition} from '@chicorysaddle/model';
 import {describeAnswer, statements} from '../fakes/test-cluster.js';
 import {maxConnections, startScene} from './scarce-cluster.js';
 
@@ -159,6 +160,43 @@
 	cluster.stop();
 });
 
+for (const entryBuild of ['the present build', 'a former build'] as const) {
+	// Guards against a COMMIT with a position before it, which an instance may refuse: an entry VM stated the position of the transaction with each of its statements, and the gateway passed it on.
+	test.serial(`only the beginning of a forwarded read-only transaction requires a position, with an entry VM of ${entryBuild}`, async t => {
+		const {cluster, entry, account} = await startScene('own');
+		const {database, network} = cluster;
+		const stated = new Set<string>();
+		let position: LogPosition | undefined;
+		network.convertMessage = (from, _to, message) => {
+			if (from !== entry || message.kind !== 'forward') {
+				return message;
+			}
+
+			position = message.statement.kind === 'control-begin' ? message.requiredPosition : position;
+			if (message.requiredPosition !== undefined) {
+				stated.add(message.statement.kind);
+			}
+
+			return entryBuild === 'a former build' ? {...message, requiredPosition: position} : message;
+		};
+
+		const caller = cluster.openSession(entry, 'bounded', account);
+		const countBefore = database.positionedStatements.length;
+		for (let round = 0; round < 10; round++) {
+			await caller.sendAndWait(beginRead);
+			t.is((await caller.sendAndWait(read)).result.kind, 'completed');
+			const answer = await caller.sendAndWait(commit);
+			t.is(answer.result.kind, 'completed', describeAnswer(answer));
+		}
+
+		// A gateway of a former build passes on whatever it is told.
+		t.deepEqual([...stated], ['control-begin']);
+		t.deepEqual([...new Set(database.positionedStatements.slice(countBefore))], ['control-begin']);
+		t.true(cluster.getCount(entry, 'forwarded') >= 30);
+		cluster.stop();
+	});
+}
+
 test.serial('a read-only transaction runs on a replica through its gateway', async t => {
 	const {cluster, entry, account} = await startScene('own');
 	const caller = cluster.openSession(entry, 'bounded', account);
