Promotion: a group without a row opens only with a primary that all instances confirm

Cause: the first term of a group was opened with any primary that answered. Where the store returned from a copy that is older than the row, and every VM had been restarted, an instance that was promoted later may merely be silent.

Change: the row opens at once only if every listed instance answers; otherwise it is created as closing without a record of promotions, and the resumed change promotes one.

--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -1,8 +1,8 @@
-import {chooseHandOvers, isPrimaryDead} from '@chicorysaddle/decisions';
+import {chooseHandOvers, findSurveyedPrimary, isPrimaryDead} from '@chicorysaddle/decisions';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Dispatcher} from '../dispatch/index.js';
 import {type InstanceGuard} from '../evacuation/index.js';
-import {type InstanceRegistry} from '../instances/index.js';
+import {type GroupSizes, type InstanceRegistry} from '../instances/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock, type CoordinationStore} from '../ports/index.js';
 import {type InstanceStatusReader} from '../positions/index.js';
@@ -10,7 +10,9 @@
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {parseSharedRows, type StoredTerm} from './shared-rows.js';
-import {findPrimary, type PromotedInstance, type SuccessorPromoter} from './successor-promoter.js';
+import {
+	createRoles, findPrimary, type PromotedInstance, type SuccessorPromoter,
+} from './successor-promoter.js';
 import {type TermWriter} from './term-writer.js';
 
 /** Reason for replacing the primary of a group; `gone`: it is no longer listed, `resumed`: an unfinished change left the term in phase `closing`. */
@@ -40,6 +42,7 @@
 	readonly coordinator: Coordinator;
 	readonly terms: TermRegistry;
 	readonly instances: InstanceRegistry;
+	readonly groupSizes: GroupSizes;
 	readonly guard: InstanceGuard;
 	readonly configuration: ConfigurationView;
 	readonly dispatcher: Dispatcher;
@@ -167,7 +170,10 @@
 			return;
 		}
 
-		await this.dependencies.termWriter.openTerm(group, 0, {term: primary.status.term, primaryId: primary.instance.id});
+		const content = {term: primary.status.term, primaryId: primary.instance.id};
+		const surveyed = findSurveyedPrimary(createRoles(readings), this.dependencies.groupSizes.countInstances(group));
+		// The store may have lost a row: an instance that does not answer may lead a later term.
+		await (surveyed?.id === primary.instance.id ? this.dependencies.termWriter.openTerm(group, 0, content) : this.dependencies.termWriter.createClosedTerm(group, content));
 	}
 
 	async #replacePrimary(term: GroupTerm, reason: PromotionReason): Promise<void> {
--- a/packages/gateway/src/coordination/successor-promoter.ts
+++ b/packages/gateway/src/coordination/successor-promoter.ts
@@ -226,7 +226,8 @@
 	return readings.filter(reading => reading.status.role === 'primary').toSorted((a, b) => b.status.term - a.status.term)[0];
 }
 
-function createRoles(readings: readonly InstanceWithStatus[]): Array<InstanceRole & {readonly reading: InstanceWithStatus}> {
+/** Creates the roles that instances state, with the readings that they are from. */
+export function createRoles(readings: readonly InstanceWithStatus[]): Array<InstanceRole & {readonly reading: InstanceWithStatus}> {
 	return readings.map(reading => {
 		const {instance: {id}, status: {role, term}} = reading;
 		return {
--- a/packages/gateway/src/coordination/term-writer.ts
+++ b/packages/gateway/src/coordination/term-writer.ts
@@ -45,6 +45,13 @@
 		});
 	}
 
+	/** Creates the row of a group as that of a closing term without a record of promotions, so that a resumed change finds out the primary. */
+	async createClosedTerm(group: string, {term, primaryId}: Pick<GroupTerm, 'term' | 'primaryId'>): Promise<StoredTerm | undefined> {
+		return this.#writeAndReport(group, 0, {
+			term, primaryId, phase: 'closing', drainMs: 0,
+		});
+	}
+
 	/** Closes a term and reports that to all VMs; returns undefined if the write is not known to have succeeded. */
 	async closeTerm(openTerm: GroupTerm, drainMs: number): Promise<StoredTerm | undefined> {
 		const {group, term, primaryId} = openTerm;
--- a/packages/gateway/src/tests/coordination/interrupted-promotion.test.ts
+++ b/packages/gateway/src/tests/coordination/interrupted-promotion.test.ts
@@ -133,3 +133,22 @@
 	});
 	cluster.stop();
 });
+
+// Guards against the same inference where the store has no row of the group, because it returned from a copy that is older than the row.
+test.serial('a group without a row does not open with a primary that answers while an instance that may lead a later term does not', async t => {
+	const cluster = new TestCluster(['vm1', 'vm2', 'vm3']);
+	const {database} = cluster;
+	const [former, promoted] = database.instances as [FakeInstance, FakeInstance];
+	database.options.stepDownMs = 1000;
+	database.term = 2;
+	Object.assign(promoted, {role: 'primary', term: 2, position: {term: 2, offset: 0}});
+	promoted.isDark = true;
+	await cluster.start();
+	const callers = [...cluster.gateways.keys()].map(vm => cluster.openSession(vm, 'strict'));
+	t.true(await isServed(cluster, callers, 5000));
+	promoted.isDark = false;
+	await writeUntil(cluster, callers, 2000, () => false);
+	t.is(getCommits(database, former, 1, 0).length, 0, 'commits of the former primary in its former term');
+	t.is(cluster.getTermRow().primaryId, database.primary.id);
+	cluster.stop();
+});
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -105,7 +105,7 @@
 		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, groupSizes, guard, statusReader, termWriter, promotionService: promotion, clock, log,
 	});
 	const promoter = new Promoter({
-		vm: identity.vm, coordinatorLease, coordinator, terms, instances, guard, configuration, dispatcher, store, statusReader, termWriter, successorPromoter, clock, log, metrics,
+		vm: identity.vm, coordinatorLease, coordinator, terms, instances, groupSizes, guard, configuration, dispatcher, store, statusReader, termWriter, successorPromoter, clock, log, metrics,
 	});
 	const registrar = new MemberRegistrar({
 		coordinatorLease, coordinator, store, clock, log,
