--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -32,6 +32,9 @@
 /** Interval at which the instance that the record of an interrupted change names is asked whether it leads, in milliseconds: each request takes a slot. */
 const recordCheckIntervalMs = 200;
 
+/** Time within which the instances of a group that starts register themselves, in milliseconds: a few of their heartbeats. */
+const registrationTimeoutMs = 3000;
+
 /** Delay before a failed change of primary is retried, in milliseconds. */
 const retryDelayMs = 200;
 
@@ -59,6 +62,8 @@
 export class Promoter {
 	readonly #groupsInProgress = new Set<string>();
 	#runningReplacements = 0;
+	/** Monotonic time since which not all instances of a group without a row answer, in milliseconds. */
+	readonly #incompleteSince = new Map<string, number>();
 
 	constructor(private readonly dependencies: PromoterDependencies) {}
 
@@ -170,10 +175,17 @@
 			return;
 		}
 
+		const {groupSizes, termWriter, clock} = this.dependencies;
 		const content = {term: primary.status.term, primaryId: primary.instance.id};
-		const surveyed = findSurveyedPrimary(createRoles(readings), this.dependencies.groupSizes.countInstances(group));
+		if (findSurveyedPrimary(createRoles(readings), groupSizes.countInstances(group))?.id === primary.instance.id) {
+			await termWriter.openTerm(group, 0, content);
+			return;
+		}
+
 		// The store may have lost a row: an instance that does not answer may lead a later term.
-		await (surveyed?.id === primary.instance.id ? this.dependencies.termWriter.openTerm(group, 0, content) : this.dependencies.termWriter.createClosedTerm(group, content));
+		const incompleteSince = this.#incompleteSince.get(group) ?? clock.now();
+		this.#incompleteSince.set(group, incompleteSince);
+		await (clock.now() - incompleteSince < registrationTimeoutMs ? delay(retryDelayMs) : termWriter.createClosedTerm(group, content));
 	}
 
 	async #replacePrimary(term: GroupTerm, reason: PromotionReason): Promise<void> {
@@ -185,13 +197,13 @@
 		const isResumed = reason === 'resumed';
 		const closedTerm = isResumed ? await termWriter.readClosingTerm(term.group) : await termWriter.closeTerm(term, drainMsByReason[reason]);
 		const closing = closedTerm && await this.#waitUntilClosed(closedTerm, isResumed);
-		if (closing === undefined || closing === 'abandoned') {
+		if (closedTerm === undefined || closing === undefined) {
 			await delay(retryDelayMs);
 			return;
 		}
 
 		const closedMs = clock.now() - startedAt;
-		const primary = closing === 'closed' ? await successorPromoter.promoteSuccessor(closedTerm!, isResumed) : closing;
+		const primary = closing === 'closed' ? await successorPromoter.promoteSuccessor(closedTerm, isResumed) : closing;
 		if (primary === undefined) {
 			await delay(retryDelayMs);
 			return;
@@ -208,9 +220,9 @@
 	/**
 	 * Waits until no VM acts on an older revision of the term.
 	 * @param isResumed - Whether the change was interrupted; the wait ends early if the record names the primary, since the term then opens with the same primary or had closed before the order.
-	 * @returns The primary that the record names, or else whether the term has closed; `abandoned` if the coordinator lease ended first.
+	 * @returns The primary that the record names, else `closed`; undefined if the coordinator lease ended first.
 	 */
-	async #waitUntilClosed(closedTerm: StoredTerm, isResumed: boolean): Promise<PromotedInstance | 'closed' | 'abandoned'> {
+	async #waitUntilClosed(closedTerm: StoredTerm, isResumed: boolean): Promise<PromotedInstance | 'closed' | undefined> {
 		const {store, coordinator, coordinatorLease, successorPromoter, clock, log} = this.dependencies;
 		const closedAt = clock.now();
 		const result = await store.readSharedRows(statusTimeoutMs);
@@ -219,7 +231,7 @@
 		// Without the list of registered VMs, an unknown name that never acknowledges makes the wait last until the term leases have expired.
 		while (!coordinator.isTermClosed(closedTerm.group, closedTerm.revision, closedAt, registeredVms ?? new Set(['an unknown VM']))) {
 			if (!coordinatorLease.isHeld()) {
-				return 'abandoned';
+				return undefined;
 			}
 
 			if (isResumed && clock.now() >= recordCheckedAt + recordCheckIntervalMs) {
