Promotion: a term that is open with an instance that has become a replica is replaced

Cause: a primary counts as failed only if it does not answer. That it is a replica is in its entry and its status, and was not compared with the term.

Change: a primary whose entry names it a replica is asked, at most every half second, and is replaced if it says so too; the row closes without a record of promotions, since another coordinator or a late order has promoted someone.

Also: a killed VM of the test cluster no longer reaches the platform.

--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -2,10 +2,10 @@
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Dispatcher} from '../dispatch/index.js';
 import {type InstanceGuard} from '../evacuation/index.js';
-import {type GroupSizes, type InstanceRegistry} from '../instances/index.js';
+import {type GroupSizes, type Instance, type InstanceRegistry} from '../instances/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock, type CoordinationStore} from '../ports/index.js';
-import {type InstanceStatusReader} from '../positions/index.js';
+import {type InstanceStatusReader, type InstanceWithStatus} from '../positions/index.js';
 import {type GroupTerm, type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
@@ -15,12 +15,20 @@
 } from './successor-promoter.js';
 import {type TermWriter} from './term-writer.js';
 
-/** Reason for replacing the primary of a group; `gone`: it is no longer listed, `resumed`: an unfinished change left the term in phase `closing`. */
-type PromotionReason = 'crashed' | 'gone' | 'draining' | 'resumed';
+/** Reason for replacing the primary of a group; `gone`: it is no longer listed, `demoted`: it has become a replica, `resumed`: an unfinished change left the term in phase `closing`. */
+type PromotionReason = 'crashed' | 'gone' | 'demoted' | 'draining' | 'resumed';
 
 /** How long pending writes may still complete once a term closes, in milliseconds, by reason; only a planned change waits for slow statements. */
 const drainMsByReason: Readonly<Record<PromotionReason, number>> = {
-	crashed: 0, gone: 0, draining: 300, resumed: 0,
+	crashed: 0, gone: 0, demoted: 0, draining: 300, resumed: 0,
+};
+
+type StatusReading = InstanceWithStatus | 'busy' | 'unreachable';
+
+/** Returns whether what a primary answers refutes a reason that rests on what others say of it. */
+const refutationsByReason: Readonly<Partial<Record<PromotionReason, (reading: StatusReading) => boolean>>> = {
+	crashed: reading => reading === 'busy' || (reading !== 'unreachable' && reading.status.role === 'primary'),
+	demoted: reading => typeof reading === 'string' || reading.status.role === 'primary',
 };
 
 /** Timeout of a status request to an instance and of a read of the registered VMs, in milliseconds. */
@@ -32,6 +40,9 @@
 /** Interval at which the instance that the record of an interrupted change names is asked whether it leads, in milliseconds: each request takes a slot. */
 const recordCheckIntervalMs = 200;
 
+/** Interval at which a primary is asked for its role while its entry names it a replica, in milliseconds: the entry of a promoted instance changes a moment later than its role. */
+const roleCheckIntervalMs = 500;
+
 /** Time within which the instances of a group that starts register themselves, in milliseconds: a few of their heartbeats. */
 const registrationTimeoutMs = 3000;
 
@@ -62,6 +73,8 @@
 export class Promoter {
 	readonly #groupsInProgress = new Set<string>();
 	#runningReplacements = 0;
+	/** Monotonic times at which primaries that their entries name replicas were asked last, by group, in milliseconds. */
+	readonly #roleCheckedAt = new Map<string, number>();
 	/** Monotonic time since which not all instances of a group without a row answer, in milliseconds. */
 	readonly #incompleteSince = new Map<string, number>();
 
@@ -114,7 +127,7 @@
 			}
 
 			const reason = this.#findPromotionReason(term, dueHandOvers);
-			if (reason !== undefined && (reason !== 'crashed' || !await this.#isPrimaryAnswering(term))) {
+			if (reason !== undefined && !await this.#isRefuted(term, reason)) {
 				this.#runningReplacements += 1;
 				try {
 					await this.#replacePrimary(term, reason);
@@ -149,14 +162,29 @@
 
 		const ownEvidence = this.dependencies.dispatcher.getTracker(term.primaryId)?.createEvidence(this.dependencies.vm, this.dependencies.clock.now());
 		const evidence = [...(ownEvidence === undefined ? [] : [ownEvidence]), ...this.dependencies.coordinator.getPrimaryEvidence(term.group)];
-		return isPrimaryDead(term.primaryId, evidence, this.dependencies.coordinator.countLiveVms(), this.dependencies.clock.now()) ? 'crashed' : undefined;
+		return isPrimaryDead(term.primaryId, evidence, this.dependencies.coordinator.countLiveVms(), this.dependencies.clock.now()) ? 'crashed' : this.#findDemotion(term, instance);
+	}
+
+	/** Returns whether a primary names itself a replica in its entry, which may be outdated; asked in intervals. */
+	#findDemotion({group}: GroupTerm, {reportedRole}: Instance): 'demoted' | undefined {
+		const now = this.dependencies.clock.now();
+		if (reportedRole !== 'replica' || now < (this.#roleCheckedAt.get(group) ?? Number.NEGATIVE_INFINITY) + roleCheckIntervalMs) {
+			return undefined;
+		}
+
+		this.#roleCheckedAt.set(group, now);
+		return 'demoted';
 	}
 
-	/** Returns whether a primary that VMs report as dead still answers this VM, if only that it is busy. */
-	async #isPrimaryAnswering(term: GroupTerm): Promise<boolean> {
+	/** Asks the primary whether a reason to replace it, which rests on what others say of it, is wrong. */
+	async #isRefuted(term: GroupTerm, reason: PromotionReason): Promise<boolean> {
+		const isRefutation = refutationsByReason[reason];
 		const instance = this.dependencies.instances.getInstance(term.primaryId);
-		const reading = instance === undefined ? 'unreachable' : await this.dependencies.statusReader.readStatus(instance, statusTimeoutMs);
-		return reading === 'busy' || (reading !== 'unreachable' && reading.status.role === 'primary');
+		if (isRefutation === undefined || instance === undefined) {
+			return false;
+		}
+
+		return isRefutation(await this.dependencies.statusReader.readStatus(instance, statusTimeoutMs));
 	}
 
 	async #recordInitialPrimary(group: string): Promise<void> {
@@ -194,8 +222,8 @@
 		});
 		const {termWriter, successorPromoter, clock, log, metrics} = this.dependencies;
 		const startedAt = clock.now();
-		const isResumed = reason === 'resumed';
-		const closedTerm = isResumed ? await termWriter.readClosingTerm(term.group) : await termWriter.closeTerm(term, drainMsByReason[reason]);
+		const isResumed = reason === 'resumed' || reason === 'demoted';
+		const closedTerm = reason === 'resumed' ? await termWriter.readClosingTerm(term.group) : await termWriter.closeTerm(term, drainMsByReason[reason], reason !== 'demoted');
 		const closing = closedTerm && await this.#waitUntilClosed(closedTerm, isResumed);
 		if (closedTerm === undefined || closing === undefined) {
 			await delay(retryDelayMs);
--- a/packages/gateway/src/coordination/term-writer.ts
+++ b/packages/gateway/src/coordination/term-writer.ts
@@ -52,11 +52,15 @@
 		});
 	}
 
-	/** Closes a term and reports that to all VMs; returns undefined if the write is not known to have succeeded. */
-	async closeTerm(openTerm: GroupTerm, drainMs: number): Promise<StoredTerm | undefined> {
+	/**
+	 * Closes a term and reports that to all VMs.
+	 * @param isPrimaryKnown - Whether the primary of the term is the group's primary; if another instance was promoted, the row has no record.
+	 * @returns The term, undefined if the write is not known to have succeeded.
+	 */
+	async closeTerm(openTerm: GroupTerm, drainMs: number, isPrimaryKnown: boolean): Promise<StoredTerm | undefined> {
 		const {group, term, primaryId} = openTerm;
 		return this.#writeAndReport(group, this.#getRowVersion(openTerm), {
-			term, primaryId, phase: 'closing', drainMs, promotion: {token: this.dependencies.coordinatorLease.token, formerPrimaryId: primaryId},
+			term, primaryId, phase: 'closing', drainMs, ...(isPrimaryKnown && {promotion: {token: this.dependencies.coordinatorLease.token, formerPrimaryId: primaryId}}),
 		});
 	}
 
--- a/packages/gateway/src/tests/fakes/fake-store.ts
+++ b/packages/gateway/src/tests/fakes/fake-store.ts
@@ -109,9 +109,15 @@
 	era = 0;
 	restoreCount = 0;
 	#hasResponse = false;
+	#isAborted = false;
 
 	constructor(private readonly vm: string, private readonly store: FakeStore) {}
 
+	/** Lets no further call reach the store, as the end of the process does. */
+	abort(): void {
+		this.#isAborted = true;
+	}
+
 	async readSharedRows(timeoutMs: number): Promise<StoreResult<readonly SharedRow[]>> {
 		return this.#call(timeoutMs, () => [...this.store.rows.values()]);
 	}
@@ -178,6 +184,11 @@
 	}
 
 	async #call<T>(timeoutMs: number, operation: () => T, writes?: readonly SharedRowWrite[]): Promise<StoreResult<T>> {
+		if (this.#isAborted) {
+			await pause(timeoutMs);
+			return {kind: 'failed', failure: {reason: 'lost', message: 'no answer'}};
+		}
+
 		const fault = this.store.fault === 'none' ? this.store.faultsByVm.get(this.vm) ?? 'none' : this.store.fault;
 		if (fault === 'busy') {
 			return {kind: 'failed', failure: {reason: 'busy', message: 'status 503'}};
