Tests: shutdowns of the coordinator and a restored store among the faults of promotion-under-faults

Cause: hand-overs and rows from an older copy end a change of primary between two steps too. Change: two more kinds of faults; a VM that nobody holds the lease for is not restarted.

--- a/packages/gateway/src/tests/coordination/promotion-under-faults.test.ts
+++ b/packages/gateway/src/tests/coordination/promotion-under-faults.test.ts
@@ -86,7 +86,7 @@
 
 async function restartVm(run: FaultRun, vm: string): Promise<void> {
 	const {cluster, ended, random} = run;
-	if (!ended.has(vm)) {
+	if (!ended.has(vm) && cluster.gateways.has(vm)) {
 		ended.add(vm);
 		cluster.killVm(vm);
 		await wait(200 + (random() * 800));
@@ -143,6 +143,22 @@
 	},
 	killCoordinator: async run => restartVm(run, run.cluster.getCoordinator()),
 	killVm: async run => restartVm(run, vms[Math.floor(run.random() * vms.length)]!),
+	async shutDownCoordinator(run) {
+		const vm = run.cluster.getCoordinator();
+		const gateway = run.cluster.gateways.get(vm)?.gateway;
+		if (!run.ended.has(vm) && gateway !== undefined) {
+			await Promise.race([gateway.drain({graceMs: 3000, rotationMs: 500}), wait(3000)]);
+			await restartVm(run, vm);
+		}
+	},
+	async restoreStore({cluster: {store}, random}) {
+		const copy = store.takeCopy();
+		await wait(500 + (random() * 2500));
+		store.fault = 'busy';
+		await wait(200 + (random() * 500));
+		store.restore(copy);
+		store.fault = 'none';
+	},
 	storeBusy: async run => setStoreFault(run, 'busy'),
 	storeSilent: async run => setStoreFault(run, 'silent'),
 	storeAnswersLost: async run => setStoreFault(run, 'answers-lost'),
@@ -258,8 +274,8 @@
 	mock.restoreAll();
 });
 
-/** Seeds of the default run: most of them once showed writes at a former primary, or a group that stayed without one. */
-const defaultSeeds = [1, 2, 1010, 1012, 1015, 1039, 1066, 1095];
+/** Seeds of the default run: most of them showed writes at a former primary when interrupted changes went on from the answers of the instances. */
+const defaultSeeds = [1, 2, 1005, 1012, 1020, 1025, 1032, 1038];
 
 /** Returns the seeds to run: those from `FIRST_SEED` on, `SEED_COUNT` of them, or the default ones. */
 function getSeeds(): number[] {
