Promotion: a row with an order states the newest term that an instance of the group had

Callers would have seen, during an upgrade: writes acknowledged by an instance whose successor had been promoted.

Cause: a coordinator of that resumes a change takes any instance in a later term than that of the row for the primary. After two orders that can be the first instance, while the second, which leads, does not answer.

Change: the row with an order states the newest term that an instance stated before the order, not that of the closed term, so that only an instance in a later one counts.

--- a/packages/gateway/src/coordination/successor-promoter.ts
+++ b/packages/gateway/src/coordination/successor-promoter.ts
@@ -82,6 +82,7 @@
 		const formerId = getFormerPrimaryId(closedTerm);
 		const position = readings.find(({instance, status}) => instance.id === formerId && status.role === 'primary')?.status.position ?? this.#getCutOffPosition(closedTerm);
 		const candidates = this.#rankCandidates(closedTerm, readings.filter(({instance}) => instance.state === 'ready' && (isResumed || instance.id !== formerId)), {isResumed, canCatchUp: position !== undefined});
+		const newestTerm = Math.max(closedTerm.term, ...readings.map(({status}) => status.term));
 		let term = closedTerm;
 		for (const [index, candidate] of candidates.entries()) {
 			const isPreferredByRegion = candidates.slice(index + 1).some(other => comparePositions(other.status.position, candidate.status.position) > 0);
@@ -92,7 +93,7 @@
 			}
 
 			const order = {instanceId: candidate.instance.id, instanceTerm: candidate.status.term};
-			const orderedTerm = await this.dependencies.termWriter.recordOrder(term, order);
+			const orderedTerm = await this.dependencies.termWriter.recordOrder(term, order, newestTerm);
 			if (orderedTerm === undefined) {
 				return undefined;
 			}
--- a/packages/gateway/src/coordination/term-writer.ts
+++ b/packages/gateway/src/coordination/term-writer.ts
@@ -75,12 +75,16 @@
 		return term?.phase === 'closing' ? term : undefined;
 	}
 
-	/** Records a promotion in the row of a closing term, before it is ordered; returns undefined if the write is not known to have succeeded. */
-	async recordOrder({group, term, primaryId, drainMs, revision, promotion}: StoredTerm, order: PromotionOrder): Promise<StoredTerm | undefined> {
+	/**
+	 * Records a promotion in the row of a closing term, before it is ordered.
+	 * @param newestTerm - Newest term that an instance of the group stated: a former build takes an instance in a later term than that of the row for the primary.
+	 * @returns The term, undefined if the write is not known to have succeeded.
+	 */
+	async recordOrder({group, primaryId, drainMs, revision, promotion}: StoredTerm, order: PromotionOrder, newestTerm: number): Promise<StoredTerm | undefined> {
 		const {token} = this.dependencies.coordinatorLease;
 		// VMs act on the closing alone, so the order is not reported to them.
 		return this.#write(group, revision, {
-			term, primaryId: noPrimaryId, phase: 'closing', drainMs, promotion: {token, formerPrimaryId: promotion?.formerPrimaryId ?? primaryId, order},
+			term: newestTerm, primaryId: noPrimaryId, phase: 'closing', drainMs, promotion: {token, formerPrimaryId: promotion?.formerPrimaryId ?? primaryId, order},
 		});
 	}
 
--- a/packages/gateway/src/tests/coordination/interrupted-promotion.test.ts
+++ b/packages/gateway/src/tests/coordination/interrupted-promotion.test.ts
@@ -152,3 +152,15 @@
 	t.is(cluster.getTermRow().primaryId, database.primary.id);
 	cluster.stop();
 });
+
+// Guards against a coordinator of a former build that opens the group with an instance whose successor was ordered and does not answer: it takes any later term than that of the row.
+test.serial('a row with an order states the newest term that an instance had before it', async t => {
+	const cluster = await startCluster();
+	const {database} = cluster;
+	const callers = openSessions(cluster, cluster.getCoordinator());
+	database.instances[2]!.term = 4;
+	database.primary.isDark = true;
+	t.true(await writeUntil(cluster, callers, 5000, () => database.promotionRequests.length > 0));
+	t.is(cluster.getTermRow().term, 4);
+	cluster.stop();
+});
