Promotion: a group of one instance opens without an order

Callers would have seen: a database with a single instance that never opened, where the platform refuses to promote it. Cause: took one answer for no proof that an instance was not replaced, also where the group has no other. Change: a group that lists one instance only, for the time that others need to register, opens with it. Measured: the tests of wire-sessions and of coordination (103) pass; the new one fails before.

--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -205,15 +205,17 @@
 
 		const {groupSizes, termWriter, clock} = this.dependencies;
 		const content = {term: primary.status.term, primaryId: primary.instance.id};
-		if (findSurveyedPrimary(createRoles(readings), groupSizes.countInstances(group))?.id === primary.instance.id) {
+		const expectedCount = groupSizes.countInstances(group);
+		const incompleteSince = this.#incompleteSince.get(group) ?? clock.now();
+		const isRegistrationOver = clock.now() - incompleteSince >= registrationTimeoutMs;
+		if (findSurveyedPrimary(createRoles(readings), expectedCount)?.id === primary.instance.id || (isRegistrationOver && expectedCount === 1)) {
 			await termWriter.openTerm(group, 0, content);
 			return;
 		}
 
 		// The store may have lost a row: an instance that does not answer may lead a later term.
-		const incompleteSince = this.#incompleteSince.get(group) ?? clock.now();
 		this.#incompleteSince.set(group, incompleteSince);
-		await (clock.now() - incompleteSince < registrationTimeoutMs ? delay(retryDelayMs) : termWriter.createClosedTerm(group, content));
+		await (isRegistrationOver ? termWriter.createClosedTerm(group, content) : delay(retryDelayMs));
 	}
 
 	async #replacePrimary(term: GroupTerm, reason: PromotionReason): Promise<void> {
--- a/packages/gateway/src/tests/coordination/interrupted-promotion.test.ts
+++ b/packages/gateway/src/tests/coordination/interrupted-promotion.test.ts
@@ -164,3 +164,15 @@
 	t.is(cluster.getTermRow().term, 4);
 	cluster.stop();
 });
+
+test.serial('a group of one instance opens once others have had time to register, without an order', async t => {
+	const cluster = new TestCluster(['vm1', 'vm2', 'vm3']);
+	const {database, time} = cluster;
+	database.instances.splice(1);
+	await cluster.start();
+	await time.advance(1500);
+	t.is(cluster.getTermRow().phase, 'open');
+	t.true(await isServed(cluster, [cluster.openSession('vm1', 'strict')], 500));
+	t.is(database.promotionRequests.length, 0);
+	cluster.stop();
+});
