Coordination: a resumed lease counts from the acquisition, not from the read of its row

What could be seen: two coordinators for up to a second or more, after the answer to an acquisition was lost and the VM lost contact with the store for some seconds. Cause: the lease that was resumed from the row counted from the read, while other VMs count from the version of the row, which the acquisition wrote. Change: the time of the first attempt with the token of the row counts, and the lease is renewed at once, as little of it may be left. A row with a token that this process has not tried is not resumed.

--- a/packages/gateway/src/coordination/coordinator-lease.ts
+++ b/packages/gateway/src/coordination/coordinator-lease.ts
@@ -42,6 +42,8 @@
 	#renewalIntervalStartedAt = Number.NEGATIVE_INFINITY;
 	/** Monotonic time since which the row has been absent, in milliseconds; undefined while it is there. */
 	#absentSince: number | undefined;
+	/** The last fencing token with which this process tried to acquire the lease, and the time of the first attempt. */
+	#attempt: {readonly token: number; readonly at: ClockReading} | undefined;
 	/** Time of the first write since the last renewal whose outcome is unknown. */
 	#unconfirmedWriteAt: ClockReading | undefined;
 	#queue: Promise<unknown> = Promise.resolve();
@@ -141,6 +143,8 @@
 			holder: this.identity.vm, incarnation: this.identity.incarnation, address: this.identity.peerAddress, token: this.#getNextToken(row), era: this.#getRowEra(),
 		};
 		const at = this.#getClockReading();
+		// Any attempt with the same token may be the one that the store performed.
+		this.#attempt = this.#attempt?.token === content.token ? this.#attempt : {token: content.token, at};
 		const transitionCount = this.#transitionCount;
 		const result = await this.store.writeSharedRows([{key: coordinatorKey, expectedVersion: row?.version ?? 0, value: JSON.stringify(content)}], callTimeoutMs);
 		// A late response is ignored if the lease was resumed from the row in the meantime, even if it has ended since.
@@ -155,15 +159,14 @@
 		return true;
 	}
 
-	/**
-	 * Resumes a lease whose acquisition got no response, if the row names this process.
-	 * @param at - Time at which the read of the row began.
-	 */
-	resume(row: CoordinatorRow, at: ClockReading): void {
+	/** Resumes a lease whose acquisition got no response, if the row names this process; it counts from the first attempt. */
+	resume(row: CoordinatorRow): void {
 		const isOwn = row.holder === this.identity.vm && row.incarnation === this.identity.incarnation && !isRestored(row);
 		// The row may still show a lease that this process has ended, until the successor writes it.
-		if (this.#heldRow === undefined && isOwn && row.token > this.#lastEndedToken) {
-			this.#setHeldRow(row, at);
+		if (this.#heldRow === undefined && isOwn && row.token > this.#lastEndedToken && row.token === this.#attempt?.token) {
+			this.#setHeldRow(row, this.#attempt.at);
+			// Little of the lease may be left.
+			this.#renewalIntervalStartedAt = Number.NEGATIVE_INFINITY;
 			this.#acquiredAt = this.clock.now();
 			this.#acquiredEra = getEra(row.version);
 			this.log.logEvent('coordinator.resumed', {token: row.token, version: row.version});
--- a/packages/gateway/src/coordination/store-membership.ts
+++ b/packages/gateway/src/coordination/store-membership.ts
@@ -174,7 +174,7 @@
 		this.applyTerms(state, at);
 		this.#vacantSince = coordinatorLease.isVacant(state.coordinator) ? this.#vacantSince : undefined;
 		if (state.coordinator !== undefined) {
-			coordinatorLease.resume(state.coordinator, at);
+			coordinatorLease.resume(state.coordinator);
 		}
 
 		this.handlers.onRead(state, at);
--- a/packages/gateway/src/tests/coordination/coordinator-lease.test.ts
+++ b/packages/gateway/src/tests/coordination/coordinator-lease.test.ts
@@ -20,7 +20,7 @@
 	const lease = createLease(store, time, 'vm1');
 	t.true(await time.waitFor(lease.tryAcquire(undefined)));
 	lease.stepDown();
-	lease.resume(readCoordinatorRow(store), {monotonicMs: time.now(), wallMs: time.getWallTime()});
+	lease.resume(readCoordinatorRow(store));
 	t.false(lease.isHeld());
 	t.true(await time.waitFor(createLease(store, time, 'vm2').tryAcquire(readCoordinatorRow(store))));
 	t.is(readCoordinatorRow(store).token, 2);
@@ -33,11 +33,32 @@
 	store.fault = 'answers-lost';
 	t.false(await time.waitFor(lease.tryAcquire(undefined)));
 	t.false(lease.isHeld());
-	lease.resume(readCoordinatorRow(store), {monotonicMs: time.now(), wallMs: time.getWallTime()});
+	lease.resume(readCoordinatorRow(store));
 	t.true(lease.isHeld());
 	time.stop();
 });
 
+// Guards against two coordinators at once: the lease counted from the read of the row, seconds after the write that others had observed.
+test.serial('a lease that is resumed after a loss of contact ends before another VM may acquire it', async t => {
+	for (const cutMs of [500, 3000, 5500, 5900, 6400]) {
+		const [store, time] = [new FakeStore(), new VirtualTime()];
+		const [lease, other] = [createLease(store, time, 'vm1'), createLease(store, time, 'vm2')];
+		store.fault = 'answers-lost';
+		t.false(await time.waitFor(lease.tryAcquire(undefined)));
+		store.fault = 'none';
+		t.false(other.isVacant(readCoordinatorRow(store)));
+		const observedAt = time.now();
+		await time.advance(cutMs);
+		lease.resume(readCoordinatorRow(store));
+		while (!other.isVacant(readCoordinatorRow(store))) {
+			await time.advance(50);
+		}
+
+		t.false(lease.isHeld(), `cut for ${cutMs} ms, vacant after ${time.now() - observedAt} ms`);
+		time.stop();
+	}
+});
+
 test.serial('a late response to an acquisition is ignored after the lease was resumed from the row and ended', async t => {
 	const [store, time] = [new FakeStore(), new VirtualTime()];
 	const lease = createLease(store, time, 'vm1');
@@ -45,7 +66,7 @@
 	const content = {
 		holder: 'vm1', incarnation: 'vm1-1', address: 'vm1:1', token: 1, version: 1,
 	};
-	lease.resume(content, {monotonicMs: time.now(), wallMs: time.getWallTime()});
+	lease.resume(content);
 	lease.stepDown();
 	t.false(await time.waitFor(acquisition));
 	t.false(lease.isHeld());
