--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -13,6 +13,9 @@
 	'process.failed': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an error ends the process', fields: {error: 'string'},
 	},
+	'task.failed': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an error in an operation that nothing awaits; the process goes on, and a task that repeats is run again', fields: {task: 'string', error: 'string'},
+	},
 	'metrics.unavailable': {
 		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'metrics cannot be served; callers are served nevertheless', fields: {address: 'string', reason: 'string'},
 	},
