Terms: positions that were observed before a suspension of the VM are not used after it

What could be seen: reads of bounded routes that lack commits older than the bound, at a replica that lags, on a VM that was suspended for some seconds. Cause: the age of a known position came from the monotonic clock alone, which a suspension does not move; the term lease uses both clocks, positions did not. Change: where the wall clock advanced further than the monotonic one by more than 10 ms, all known positions are dropped, and so are answers to statements that were sent before. A jump of the wall clock forward has the same effect until the next answer of the primary. A suspension during which the wall clock is set back by as much stays unnoticed.

--- a/packages/gateway/src/terms/term-registry.ts
+++ b/packages/gateway/src/terms/term-registry.ts
@@ -1,4 +1,6 @@
-import {type ClockReading, PositionHistory, DualClockLease} from '@chicorysaddle/decisions';
+import {
+	type ClockReading, PositionHistory, DualClockLease, SuspensionDetector,
+} from '@chicorysaddle/decisions';
 import {type LogPosition} from '@chicorysaddle/model';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock} from '../ports/index.js';
@@ -40,6 +42,9 @@
 	readonly #lease = new DualClockLease(termLeaseMs);
 	readonly #changeListeners: Array<(term: GroupTerm) => void> = [];
 	readonly #leaseAcquiredListeners: Array<() => void> = [];
+	readonly #suspensionDetector = new SuspensionDetector();
+	/** Monotonic time from which the ages of observations are known, in milliseconds: the end of the last suspension of this VM. */
+	#agesKnownFrom = Number.NEGATIVE_INFINITY;
 	#wasLeaseHeld = false;
 	#leaseRenewedAt = Number.NEGATIVE_INFINITY;
 
@@ -229,11 +234,12 @@
 	}
 
 	/**
-	 * Records the log position of a group's primary; ignores a position of another term.
+	 * Records the log position of a group's primary; ignores a position of another term, or from before the last suspension of this VM.
 	 * @param observedAt - Monotonic time at which the statement was sent under a held lease, in milliseconds.
 	 */
 	recordPosition(group: string, position: LogPosition, observedAt: number): void {
-		if (position.term !== this.#terms.get(group)?.term) {
+		this.#clearPositionsAfterSuspension();
+		if (position.term !== this.#terms.get(group)?.term || observedAt < this.#agesKnownFrom) {
 			return;
 		}
 
@@ -245,15 +251,27 @@
 	 * @param time - Monotonic time, in milliseconds.
 	 */
 	getPositionCovering(group: string, time: number): LogPosition | undefined {
+		this.#clearPositionsAfterSuspension();
 		return this.#positions.get(group)?.getPositionCovering(time);
 	}
 
 	/** Returns a group's newest known position and its age, undefined if none is known. */
 	getNewestPosition(group: string): {readonly position: LogPosition; readonly ageMs: number} | undefined {
+		this.#clearPositionsAfterSuspension();
 		const sample = this.#positions.get(group)?.getNewestSample();
 		return sample === undefined ? undefined : {position: sample.position, ageMs: this.clock.now() - sample.observedAt};
 	}
 
+	/** Removes all positions if this VM was suspended: they are older than the monotonic clock shows. */
+	#clearPositionsAfterSuspension(): void {
+		const reading = this.getClockReading();
+		if (this.#suspensionDetector.checkSuspension(reading)) {
+			this.#agesKnownFrom = reading.monotonicMs;
+			this.#positions.clear();
+			this.metrics.addCount('suspensions');
+		}
+	}
+
 	#getPositions(group: string): PositionHistory {
 		let history = this.#positions.get(group);
 		if (history === undefined) {
