Shutdown: the time out of rotation is bounded by the grace period

Operators saw a process with a grace period of 2 s end 2.2 to 2.3 s after SIGTERM, so that it was killed.

Cause: the shutdown waited 2.2 s for the load balancer whatever the grace period was. Change: the wait ends 0.8 s before the end of the grace period, so that sessions can end and the VM can leave; from 3 s on nothing changes. Result: grace periods of 0.5, 1, 2 and 2.5 s are kept in virtual time.

--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -9,7 +9,7 @@
 export type ShutdownTiming = {
 	/** Time from the signal to the forced exit, in milliseconds. */
 	readonly graceMs: number;
-	/** Time until the load balancer stops sending new connections here, in milliseconds. */
+	/** Time until the load balancer stops sending new connections here, in milliseconds; less of it is waited for where the grace period is short. */
 	readonly rotationMs: number;
 };
 
@@ -28,6 +28,9 @@
 /** Time reserved at the end of the grace period to leave the cluster and exit, in milliseconds. */
 const exitReserveMs = 500;
 
+/** Time reserved before that for sessions to end, once callers no longer come, in milliseconds. */
+const sessionReserveMs = 300;
+
 /** Time before the end of the grace period at which the process exits in any case, in milliseconds. */
 const exitMarginMs = 150;
 
@@ -109,7 +112,7 @@
 	}
 
 	/**
-	 * Shuts down gracefully. After `rotationMs`, sessions are closed as they become idle.
+	 * Shuts down gracefully, within the grace period. After `rotationMs`, sessions are closed as they become idle.
 	 * After half of the grace period, open transactions are rolled back and statements refused.
 	 */
 	async drain(timing: ShutdownTiming): Promise<void> {
@@ -118,7 +121,8 @@
 		this.dependencies.log.logEvent('shutdown.begun', {sessions: this.#sessions.size, graceMs: timing.graceMs});
 		void this.member.handOver();
 		const elapsed = () => this.dependencies.clock.now() - startedAt;
-		while (elapsed() < timing.rotationMs) {
+		const rotationMs = Math.min(timing.rotationMs, timing.graceMs - exitReserveMs - sessionReserveMs);
+		while (elapsed() < rotationMs) {
 			await pause(drainPollMs);
 		}
 
--- a/packages/gateway/src/tests/sessions/shutdown.test.ts
+++ b/packages/gateway/src/tests/sessions/shutdown.test.ts
@@ -97,3 +97,19 @@
 		cluster.stop();
 	}
 });
+
+// Guards against a process that outlives a short grace period, and is killed, because it waits for the load balancer longer than that.
+test.serial('a VM ends before the end of a grace period that is shorter than the time the load balancer takes', async t => {
+	for (const graceMs of [500, 1000, 2000, 2500]) {
+		const cluster = new TestCluster();
+		await cluster.start();
+		const session = cluster.openSession('vm1', 'strict');
+		await session.sendAndWait(begin);
+		await session.sendAndWait(write);
+		const startedAt = cluster.time.now();
+		await cluster.time.waitFor(cluster.getGateway('vm1').gateway.drain({...timing, graceMs}));
+		const durationMs = cluster.time.now() - startedAt;
+		t.true(durationMs < graceMs, `grace period of ${graceMs} ms: ${durationMs} ms`);
+		cluster.stop();
+	}
+});
