--- a/packages/gateway/src/configuration/configuration-watcher.ts
+++ b/packages/gateway/src/configuration/configuration-watcher.ts
@@ -1,5 +1,6 @@
 import {Backoff} from '@chicorysaddle/decisions';
 import {type EventLog} from '../observability/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {
 	type VersionedConfiguration, type CoordinationStore, type StoreResult, type StoreVersion,
 } from '../ports/index.js';
@@ -31,6 +32,14 @@
 /** Interval between checks whether a deferred first read is due, in milliseconds. */
 const deferredReadCheckMs = 50;
 
+/** Dependencies of a `ConfigurationWatcher` other than its store and view. */
+export type ConfigurationWatcherDependencies = {
+	/** Returns numbers from 0 (inclusive) to 1 (exclusive). */
+	readonly random: () => number;
+	readonly log: EventLog;
+	readonly tasks: BackgroundTasks;
+};
+
 /** Applies new configuration versions from the store, or from other VMs while this VM cannot reach the store. */
 export class ConfigurationWatcher {
 	readonly #history = new ConfigurationHistory();
@@ -61,9 +70,13 @@
 		this.#receivedBytes = receivedBytes;
 	};
 
-	/** @param random - Returns numbers from 0 (inclusive) to 1 (exclusive). */
-	constructor(private readonly store: CoordinationStore, private readonly view: ConfigurationView, random: () => number, private readonly log: EventLog) {
-		this.#backoff = new Backoff(initialBackoffMs, maxBackoffMs, random);
+	constructor(private readonly store: CoordinationStore, private readonly view: ConfigurationView, private readonly dependencies: ConfigurationWatcherDependencies) {
+		this.#backoff = new Backoff(initialBackoffMs, maxBackoffMs, dependencies.random);
+	}
+
+	/** Whether polling was stopped. */
+	get isStopped(): boolean {
+		return this.#isStopped;
 	}
 
 	/** Active configuration as it is sent to other VMs; undefined before the first is applied. */
@@ -120,18 +133,21 @@
 		}
 
 		this.#isReading = true;
-		const result = await this.#readWhole();
-		this.#isReading = false;
+		let result: StoreResult<VersionedConfiguration>;
+		try {
+			result = await this.#readWhole();
+		} finally {
+			this.#isReading = false;
+		}
+
 		if (result.kind === 'ok') {
-			// A later poll then does not transfer this configuration again.
-			this.#storeVersion = result.value.storeVersion;
 			this.#applyReading(result.value);
 		}
 
 		return this.view.version >= version;
 	}
 
-	/** Reads the configuration, then polls the store for changes until stopped, while polling is enabled. */
+	/** Reads the configuration, then polls the store for changes until stopped, while polling is enabled; may be called again after an error. */
 	async run(): Promise<void> {
 		while (this.view.version === 0 && !this.#isPolling && !this.#isStopped && this.#isFirstReadDeferred()) {
 			await delay(deferredReadCheckMs);
@@ -144,12 +160,16 @@
 		while (!this.#isStopped) {
 			// A long poll may hang on a dead connection, so it does not keep `refresh` from reading.
 			this.#isReading = this.#storeVersion === undefined;
-			const result = await this.#read();
-			this.#isReading = false;
+			let result: StoreResult<VersionedConfiguration>;
+			try {
+				result = await this.#read();
+			} finally {
+				this.#isReading = false;
+			}
+
 			if (result.kind === 'ok') {
 				this.#backoff.reset();
 				this.#recordStoreAvailability(true, '');
-				this.#storeVersion = result.value.storeVersion;
 				this.#applyReading(result.value);
 			} else {
 				// The next call reads the full configuration: the store's change history may no longer contain the polled version.
@@ -186,7 +206,7 @@
 		parseConfiguration(text).ifRight(configuration => {
 			this.#apply(configuration, source, new ConfigurationSnapshot(configuration, {text}));
 		}).ifLeft(reason => {
-			this.log.logEvent('configuration.unreadable', {source, reason});
+			this.dependencies.log.logEvent('configuration.unreadable', {source, reason});
 		});
 	}
 
@@ -198,13 +218,20 @@
 	async applyReceived(received: ReceivedConfiguration, source: string, storeVersion: StoreVersion | undefined): Promise<void> {
 		const result = await parseLargeConfiguration(received.text);
 		result.ifRight(configuration => {
+			const before = this.#storeVersion;
 			if (configuration.version > this.view.version) {
-				this.#storeVersion = storeVersion ?? this.#storeVersion;
+				this.#storeVersion = storeVersion ?? before;
 			}
 
-			this.#apply(configuration, source, new ConfigurationSnapshot(configuration, received));
+			try {
+				this.#apply(configuration, source, new ConfigurationSnapshot(configuration, received));
+			} catch (error) {
+				// A poll from the later version would miss what was not applied.
+				this.#storeVersion = before;
+				throw error;
+			}
 		}).ifLeft(reason => {
-			this.log.logEvent('configuration.unreadable', {source, reason: reason.slice(0, maxReasonLength)});
+			this.dependencies.log.logEvent('configuration.unreadable', {source, reason: reason.slice(0, maxReasonLength)});
 		});
 	}
 
@@ -232,13 +259,19 @@
 		return result;
 	}
 
+	/** Applies what was read from the store; after an error the next call reads the full configuration, since a poll would miss what was not applied. */
 	#applyReading(reading: VersionedConfiguration): void {
-		for (const listener of this.#readListeners) {
-			listener(reading);
-		}
-
-		if (reading.configuration !== undefined) {
-			this.#apply(reading.configuration, 'store');
+		// A later poll then does not transfer this configuration again.
+		this.#storeVersion = reading.storeVersion;
+		const isHandled = this.#notifyListeners(this.#readListeners, reading);
+		const isApplied = this.dependencies.tasks.tryCall('configuration', () => {
+			if (reading.configuration !== undefined) {
+				this.#apply(reading.configuration, 'store');
+			}
+		});
+		if (!isHandled || !isApplied) {
+			this.#storeVersion = undefined;
+			throw new Error('what was read from the store was not applied');
 		}
 	}
 
@@ -256,27 +289,33 @@
 		}
 
 		this.#history.setCurrent(snapshot);
-		this.log.logEvent('configuration.applied', {
+		this.dependencies.log.logEvent('configuration.applied', {
 			version: configuration.version, before, source, routes: configuration.routes.length, accounts: configuration.accounts.length,
 		});
-		for (const listener of this.#listeners) {
-			listener(configuration);
-		}
+		this.#notifyListeners(this.#listeners, configuration);
+	}
+
+	/** Calls every listener, also after one failed; returns whether all succeeded. */
+	#notifyListeners<T>(listeners: ReadonlyArray<(value: T) => void>, value: T): boolean {
+		const results = listeners.map(listener => this.dependencies.tasks.tryCall('configuration listener', () => {
+			listener(value);
+		}));
+		return results.every(Boolean);
 	}
 
 	#holdBack(apply: () => void): void {
 		this.#applyHeld = apply;
-		this.#holdTimer ??= setTimeout(() => {
+		this.#holdTimer ??= setTimeout(this.dependencies.tasks.createCallback('held configuration', () => {
 			this.#isOlderAccepted = true;
 			this.#applyHeld?.();
-		}, maxHoldMs);
+		}), maxHoldMs);
 	}
 
 	/** Logs when the store becomes unavailable or available again. */
 	#recordStoreAvailability(isAvailable: boolean, reason: string): void {
 		if (this.#isStoreUnavailable === isAvailable) {
 			this.#isStoreUnavailable = !isAvailable;
-			this.log.logEvent(isAvailable ? 'store.regained' : 'store.lost', {call: 'configuration', why: reason});
+			this.dependencies.log.logEvent(isAvailable ? 'store.regained' : 'store.lost', {call: 'configuration', why: reason});
 		}
 	}
 }
--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -11,6 +11,7 @@
 import {
 	type AdjustableSettingsSource, type Clock, type CoordinationStore, createStoreVersion, type PeerLink, type PeerNetwork, type PeerServer,
 } from '../ports/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
@@ -93,6 +94,7 @@
 	/** Returns numbers from 0 (inclusive) to 1 (exclusive). */
 	readonly random: () => number;
 	readonly getSettings: AdjustableSettingsSource;
+	readonly tasks: BackgroundTasks;
 	/** Absent where no operation is forwarded. */
 	readonly forwarding?: Forwarding | undefined;
 };
@@ -161,11 +163,11 @@
 		dependencies.configurationWatcher.setPolling(false);
 		dependencies.terms.onChanged(() => {
 			this.#isHeartbeatUrgent = true;
-			setImmediate(() => {
+			setImmediate(dependencies.tasks.createCallback('heartbeat', () => {
 				if (!dependencies.coordinatorLease.isHeld()) {
 					this.#sendHeartbeat(dependencies.clock.now());
 				}
-			});
+			}));
 		});
 		dependencies.limiter.setTokenRequester(async demands => this.#requestTokens(demands));
 		dependencies.configurationWatcher.onApplied(() => {
@@ -176,12 +178,12 @@
 				this.#isHeartbeatUrgent = true;
 			}
 		});
-		dependencies.instances.onChanged(() => {
+		dependencies.instances.onChanged(dependencies.tasks.createCallback('instance list', () => {
 			if (dependencies.coordinatorLease.isHeld()) {
 				this.#publishInstances();
 				this.#isReportPushDue = true;
 			}
-		});
+		}));
 	}
 
 	/** Listens for other VMs and starts the main loop. */
@@ -238,22 +240,28 @@
 
 	#scheduleTick(): void {
 		this.#timer = setTimeout(() => {
-			this.#runTick();
+			this.dependencies.tasks.tryCall('membership', () => {
+				this.#runTick();
+			});
 			this.#scheduleTick();
 		}, tickIntervalMs);
 	}
 
 	#runTick(): void {
 		const now = this.dependencies.clock.now();
-		this.#resignIfSlow(now);
-		this.dependencies.terms.logLeaseLoss();
-		this.#checkStoreEra();
+		this.dependencies.tasks.tryCall('membership', () => {
+			this.#resignIfSlow(now);
+			this.dependencies.terms.logLeaseLoss();
+			this.#checkStoreEra();
+		});
 		if (this.dependencies.coordinatorLease.isHeld()) {
 			this.#runCoordinatorTick(now);
 			return;
 		}
 
-		this.#sendHeartbeat(now);
+		this.dependencies.tasks.tryCall('heartbeat', () => {
+			this.#sendHeartbeat(now);
+		});
 		const isCoordinatorSilent = now - this.#coordinatorAnsweredAt > coordinatorTimeoutMs && this.#storeMembership.isStartupOver;
 		this.dependencies.instanceWatcher.setPolling(isCoordinatorSilent);
 		if (isCoordinatorSilent) {
@@ -266,12 +274,34 @@
 		this.#storeMembership.pollIfDue(isCoordinatorSilent);
 	}
 
+	/** Does each duty of the coordinator, also after an error in another one. */
 	#runCoordinatorTick(now: number): void {
+		const {tasks, coordinatorLease, storeRecovery, promoter, registrar} = this.dependencies;
 		this.#link?.close();
 		this.#link = undefined;
 		this.dependencies.instanceWatcher.setPolling(true);
 		this.dependencies.configurationWatcher.setPolling(true);
 		this.dependencies.terms.renewLease(this.dependencies.terms.getClockReading());
+		tasks.tryCall('heartbeat', () => {
+			this.#handleOwnHeartbeatIfDue(now);
+			this.#pushReportsIfDue();
+		});
+		tasks.run('coordinator lease', async () => coordinatorLease.renewIfDue());
+		tasks.run('store recovery', async () => storeRecovery.recoverIfNeeded());
+		tasks.tryCall('hand-over', () => {
+			if (!promoter.isReplacingPrimary) {
+				this.#offerHandOverIfDue(now);
+			}
+		});
+		tasks.tryCall('promotion', () => {
+			promoter.checkGroups();
+		});
+		tasks.tryCall('registration', () => {
+			registrar.checkIfDue();
+		});
+	}
+
+	#handleOwnHeartbeatIfDue(now: number): void {
 		if (now - this.#heartbeatSentAt >= heartbeatIntervalMs) {
 			this.#heartbeatSentAt = now;
 			const report = this.dependencies.coordinator.handleHeartbeat(this.#heartbeatBuilder.createOwnHeartbeat(this.#instanceRevision), undefined);
@@ -279,20 +309,13 @@
 			this.#applyReport(report);
 			this.dependencies.dispatcher.admission.applyReport(report, now);
 		}
+	}
 
+	#pushReportsIfDue(): void {
 		if (this.#isReportPushDue) {
 			this.#isReportPushDue = false;
 			this.dependencies.coordinator.pushReports();
 		}
-
-		void this.dependencies.coordinatorLease.renewIfDue();
-		void this.dependencies.storeRecovery.recoverIfNeeded();
-		if (!this.dependencies.promoter.isReplacingPrimary) {
-			this.#offerHandOverIfDue(now);
-		}
-
-		this.dependencies.promoter.checkGroups();
-		this.dependencies.registrar.checkIfDue();
 	}
 
 	/** Offers the role to other VMs if this one does not reach the store, or to larger ones if it became the coordinator while none was there. */
@@ -386,7 +409,7 @@
 			}
 
 			case 'acceptance': {
-				void this.#handOverTo(link, message.vm, message.address);
+				this.dependencies.tasks.run('hand-over', async () => this.#handOverTo(link, message.vm, message.address));
 				return;
 			}
 
@@ -467,9 +490,8 @@
 
 	/** Returns whether the store has become reachable for this VM as well; VMs that accept the role at the same time wait for the same call. */
 	async #isStoreReachable(): Promise<boolean> {
-		this.#reachabilityCheck ??= this.dependencies.store.readSharedRows(reachabilityTimeoutMs).then(({kind}) => {
+		this.#reachabilityCheck ??= this.dependencies.store.readSharedRows(reachabilityTimeoutMs).then(({kind}) => kind === 'ok').finally(() => {
 			this.#reachabilityCheck = undefined;
-			return kind === 'ok';
 		});
 		return this.#reachabilityCheck;
 	}
@@ -542,7 +564,7 @@
 			}
 
 			case 'offer': {
-				void this.#handleOffer(message);
+				this.dependencies.tasks.run('hand-over', async () => this.#handleOffer(message));
 				return;
 			}
 
@@ -657,7 +679,7 @@
 			log.logEvent('coordinator.slow', {lagMs: Math.round(this.#lagMonitor.lagMs)});
 			this.#lagMonitor.reset();
 			this.#storeMembership.suspendCandidacy(slowVmBackoffMs);
-			void this.dependencies.coordinatorLease.release();
+			this.dependencies.tasks.run('coordinator lease', async () => coordinatorLease.release());
 		}
 	}
 
--- a/packages/gateway/src/coordination/configuration-receiver.ts
+++ b/packages/gateway/src/coordination/configuration-receiver.ts
@@ -75,9 +75,9 @@
 		}
 
 		if (report.configurationParts !== true) {
-			void this.#fetchWhole(report, link);
+			this.dependencies.tasks.run('configuration transfer', async () => this.#fetchWhole(report, link));
 		} else if (source === undefined && version > this.dependencies.configuration.version) {
-			void this.dependencies.configurationWatcher.refresh(version);
+			this.dependencies.tasks.run('configuration transfer', async () => this.dependencies.configurationWatcher.refresh(version));
 		} else if (source !== undefined && source !== '' && version > this.dependencies.configuration.version) {
 			this.#client.start(source);
 		}
--- a/packages/gateway/src/coordination/configuration-transfer-client.ts
+++ b/packages/gateway/src/coordination/configuration-transfer-client.ts
@@ -6,6 +6,7 @@
 } from '../configuration/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock, type PeerLink, type PeerNetwork} from '../ports/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 
 /** Interval between checks whether the source still sends, in milliseconds. */
 const checkIntervalMs = 50;
@@ -21,6 +22,7 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
+	readonly tasks: BackgroundTasks;
 };
 
 /** Receives a configuration in parts from other VMs: from one at a time, and from the next one at the offset that was reached. */
@@ -145,7 +147,7 @@
 		const isMatching = text !== undefined && computeSnapshotDigest(text) === digest;
 		if (isMatching) {
 			metrics.addCount(base === undefined ? 'configuration_transfers_completed' : 'configuration_changes_completed');
-			void this.#apply({text, digest, ...(base === undefined && {compressed})}, storeVersion);
+			this.dependencies.tasks.run('configuration transfer', async () => this.#apply({text, digest, ...(base === undefined && {compressed})}, storeVersion));
 		} else if (base === undefined) {
 			log.logEvent('configuration.unreadable', {source, reason: `version ${version} does not match its digest`});
 			this.#recordFailure(source);
@@ -157,8 +159,11 @@
 
 	async #apply(received: ReceivedConfiguration, storeVersion: number | undefined): Promise<void> {
 		this.#isApplying = true;
-		await this.dependencies.configurationWatcher.applyReceived(received, 'peer', storeVersion);
-		this.#isApplying = false;
+		try {
+			await this.dependencies.configurationWatcher.applyReceived(received, 'peer', storeVersion);
+		} finally {
+			this.#isApplying = false;
+		}
 	}
 
 	/** Returns the text of the configuration that was received; undefined if the content is malformed. */
@@ -173,13 +178,13 @@
 	}
 
 	#scheduleCheck(): void {
-		this.#timer = setTimeout(() => {
+		this.#timer = setTimeout(this.dependencies.tasks.createCallback('configuration transfer', () => {
 			if (this.#transfer.isStalled(this.dependencies.clock.now())) {
 				this.#failSource('it stopped sending');
 			} else {
 				this.#scheduleCheck();
 			}
-		}, checkIntervalMs);
+		}), checkIntervalMs);
 	}
 
 	/** Gives up the source; what it sent is kept for the next one. */
--- a/packages/gateway/src/coordination/member-registrar.ts
+++ b/packages/gateway/src/coordination/member-registrar.ts
@@ -1,5 +1,6 @@
 import {type EventLog} from '../observability/index.js';
 import {type Clock, type CoordinationStore, type SharedRowWrite} from '../ports/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {
@@ -25,6 +26,7 @@
 	readonly store: CoordinationStore;
 	readonly clock: Clock;
 	readonly log: EventLog;
+	readonly tasks: BackgroundTasks;
 };
 
 /** Keeps the member rows of the store in line with the VMs that the coordinator hears: registers connected ones and removes silent ones. */
@@ -39,7 +41,7 @@
 		const elapsedMs = clock.now() - this.#checkedAt;
 		if (elapsedMs > checkIntervalMs || (elapsedMs > registrationIntervalMs && coordinator.getUnregisteredMembers().length > 0)) {
 			this.#checkedAt = clock.now();
-			void this.#check();
+			this.dependencies.tasks.run('registration', async () => this.#check());
 		}
 	}
 
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -6,6 +6,7 @@
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock, type CoordinationStore} from '../ports/index.js';
 import {type InstanceStatusReader, type InstanceWithStatus} from '../positions/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {type GroupTerm, type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
@@ -67,6 +68,7 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
+	readonly tasks: BackgroundTasks;
 };
 
 /** Ensures that each group has one primary; promotes a successor only when no VM uses the former primary any more. */
@@ -94,7 +96,7 @@
 		const dueHandOvers = this.#chooseDueHandOvers();
 		for (const {name} of this.dependencies.configuration.getGroups()) {
 			if (!this.#groupsInProgress.has(name)) {
-				void this.#checkGroup(name, dueHandOvers);
+				this.dependencies.tasks.run('promotion', async () => this.#checkGroup(name, dueHandOvers));
 			}
 		}
 	}
@@ -137,6 +139,7 @@
 			}
 		} catch (error) {
 			this.dependencies.log.logEvent('promotion.error', {group, error: error instanceof Error ? error.stack ?? error.message : String(error)});
+			await delay(retryDelayMs);
 		} finally {
 			this.#groupsInProgress.delete(group);
 		}
--- a/packages/gateway/src/coordination/store-membership.ts
+++ b/packages/gateway/src/coordination/store-membership.ts
@@ -3,6 +3,7 @@
 import {
 	type AdjustableSettingsSource, type Clock, type CoordinationStore, getEra,
 } from '../ports/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {type TermRegistry} from '../terms/index.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {type GatewayIdentity} from './gateway-identity.js';
@@ -40,6 +41,7 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly getSettings: AdjustableSettingsSource;
+	readonly tasks: BackgroundTasks;
 };
 
 /** Handlers of what a `StoreMembership` learns. */
@@ -82,7 +84,7 @@
 	pollIfDue(isCoordinatorSilent: boolean): void {
 		const isFirstPoll = this.#polledAt === Number.NEGATIVE_INFINITY;
 		if ((isCoordinatorSilent || isFirstPoll) && !this.#isPolling && this.dependencies.clock.now() - this.#polledAt > this.#pollDelayMs) {
-			void this.#poll();
+			this.dependencies.tasks.run('shared rows', async () => this.#poll());
 		}
 	}
 
@@ -145,6 +147,8 @@
 		const {terms, store, log} = this.dependencies;
 		this.#isPolling = true;
 		this.#polledAt = this.dependencies.clock.now();
+		// Also holds after an error.
+		this.#pollDelayMs = unavailablePollIntervalMs;
 		try {
 			let at = terms.getClockReading();
 			let result = await store.readSharedRows(callTimeoutMs);
@@ -158,7 +162,6 @@
 				await this.#applyState(parseSharedRows(result.value, log), at);
 				this.#pollDelayMs = this.#getNextPollDelayMs();
 			} else {
-				this.#pollDelayMs = unavailablePollIntervalMs;
 				this.handlers.onReadFailed(at);
 			}
 
--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -7,7 +7,10 @@
 import {type InstanceGuard} from '../evacuation/index.js';
 import {type Instance, type InstanceRegistry} from '../instances/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
-import {type AdjustableSettingsSource, type Clock, type InstanceConnector} from '../ports/index.js';
+import {
+	type AdjustableSettingsSource, type Clock, type ConnectFailure, type InstanceConnector,
+} from '../ports/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {type TermRegistry} from '../terms/index.js';
 import {ConnectionLimits} from './connection-limits.js';
 import {InstancePool} from './instance-pool.js';
@@ -66,6 +69,9 @@
 /** Retry delay in the refusal of a request that is no longer awaited, in milliseconds; no caller receives it. */
 const abandonedRetryMs = 200;
 
+/** Retry delay given to a caller whose request could not be placed because of an error, in milliseconds. */
+const errorRetryMs = 200;
+
 /** Maximum time until a VM knows that an instance is draining, including the transit of its last statement, in milliseconds. */
 const drainPropagationMs = 2500;
 
@@ -83,6 +89,7 @@
 	/** Returns a random number in [0, 1). */
 	readonly random: () => number;
 	readonly getSettings: AdjustableSettingsSource;
+	readonly tasks: BackgroundTasks;
 	/** Decides about gateways; absent where no operation is forwarded. */
 	readonly router?: PlacementRouter | undefined;
 };
@@ -108,11 +115,12 @@
 		this.#limits = new ConnectionLimits(dependencies);
 		this.#chooser = new InstanceChooser(dependencies.distance.roundTrips);
 		this.admission = new AdmissionGate({...dependencies, getTracker: instanceId => this.getTracker(instanceId)});
-		dependencies.instances.onChanged((before, after) => {
+		const {tasks} = dependencies;
+		dependencies.instances.onChanged(tasks.createCallback('instance pools', (before, after) => {
 			this.#handleInstanceChange(before, after);
-		});
+		}));
 		dependencies.terms.onChanged(term => {
-			this.#dispatchGroup(term.group);
+			this.#tryDispatchGroup(term.group);
 		});
 		dependencies.terms.onLeaseAcquired(() => {
 			this.#dispatchAllGroups();
@@ -122,8 +130,10 @@
 		});
 		setInterval(() => {
 			for (const pool of this.#pools.values()) {
-				pool.setCutOff(this.isCutOff(pool.instance));
-				this.#limits.closeIdle(pool);
+				tasks.tryCall('instance pools', () => {
+					pool.setCutOff(this.isCutOff(pool.instance));
+					this.#limits.closeIdle(pool);
+				});
 			}
 		}, idleCheckIntervalMs).unref();
 	}
@@ -207,10 +217,12 @@
 			const waiter: Waiter = {
 				request, excluded: new Set(request.excluded), queuedAt, openingPool: undefined, canForward, isChecked: false, settle: result => {
 					this.#waiters.get(request.group)?.delete(waiter);
-					// A forwarded request is placed at its gateway, which counts it.
-					this.admission.recordSettled(request, result.kind === 'placed');
-					this.dependencies.metrics.recordDuration('place', this.dependencies.clock.now() - queuedAt);
 					resolve(result);
+					this.dependencies.tasks.tryCall('admission', () => {
+						// A forwarded request is placed at its gateway, which counts it.
+						this.admission.recordSettled(request, result.kind === 'placed');
+					});
+					this.dependencies.metrics.recordDuration('place', this.dependencies.clock.now() - queuedAt);
 				},
 			};
 			const refusal = this.#checkPrimary(request);
@@ -220,8 +232,11 @@
 			}
 
 			this.#enqueue(waiter);
-			this.#dispatchGroup(request.group);
-			this.#refuseIfTooLate(waiter);
+			this.#tryDispatchGroup(request.group);
+			// After an error the request waits until its deadline.
+			this.dependencies.tasks.tryCall('admission', () => {
+				this.#refuseIfTooLate(waiter);
+			});
 		});
 	}
 
@@ -345,10 +360,17 @@
 
 	#dispatchAllGroups(): void {
 		for (const group of this.#queues.keys()) {
-			this.#dispatchGroup(group);
+			this.#tryDispatchGroup(group);
 		}
 	}
 
+	/** Dispatches a group; after an error its requests wait for the next dispatch, which follows soon while there are any. */
+	#tryDispatchGroup(group: string): void {
+		this.dependencies.tasks.tryCall('dispatch', () => {
+			this.#dispatchGroup(group);
+		});
+	}
+
 	/** Assigns the free connections of a group. A connection that is closed meanwhile causes another pass instead of a recursive call. */
 	#dispatchGroup(group: string): void {
 		if (this.#dispatchingGroups.has(group)) {
@@ -387,26 +409,11 @@
 				break;
 			}
 
-			const {pool, idle, gateway, isPrimary} = candidate;
-			const refusal = gateway === undefined || entry.value.isChecked ? undefined : this.admission.checkForwarding(entry.value.request);
-			if (refusal !== undefined) {
-				entry.value.settle({kind: 'refused', refusal});
-				continue;
-			}
-
-			this.#recordPlacement(entry.value.request);
-			if (entry.value.request.instanceId === undefined) {
-				// An operation of another VM is counted there.
-				this.dependencies.distance.recordPlacement(pool.instance.zone);
-			}
-
-			if (idle !== undefined) {
-				pool.acquire(idle);
-				this.dependencies.guard.recordUse(pool.instance);
-				entry.value.settle({kind: 'placed', placement: {pool, connection: idle, isPrimary}});
-			} else if (gateway !== undefined) {
-				entry.value.settle({kind: 'forwarded', placement: gateway.createPlacement(isPrimary, pool.tracker)});
-			}
+			const {value: waiter} = entry;
+			const chosen = candidate;
+			this.#settleRemoved(waiter, () => {
+				this.#placeWaiter(waiter, chosen);
+			});
 		}
 
 		// No waiting request can use the connections that are idle now, so they may be evicted.
@@ -418,6 +425,36 @@
 		}
 	}
 
+	/** Settles a request that no queue has any more; refuses it after an error, since nothing of it has run. */
+	#settleRemoved(waiter: Waiter, settle: () => void): void {
+		if (!this.dependencies.tasks.tryCall('placement', settle)) {
+			waiter.settle({kind: 'refused', refusal: refusals.overloaded(waiter.request.group, errorRetryMs)});
+		}
+	}
+
+	/** Gives a request the candidate that was chosen for it, or refuses the request. */
+	#placeWaiter({request, isChecked, settle}: Waiter, {pool, idle, gateway, isPrimary}: Candidate): void {
+		const refusal = gateway === undefined || isChecked ? undefined : this.admission.checkForwarding(request);
+		if (refusal !== undefined) {
+			settle({kind: 'refused', refusal});
+			return;
+		}
+
+		this.#recordPlacement(request);
+		if (request.instanceId === undefined) {
+			// An operation of another VM is counted there.
+			this.dependencies.distance.recordPlacement(pool.instance.zone);
+		}
+
+		if (idle !== undefined) {
+			this.dependencies.guard.recordUse(pool.instance);
+			pool.acquire(idle);
+			settle({kind: 'placed', placement: {pool, connection: idle, isPrimary}});
+		} else if (gateway !== undefined) {
+			settle({kind: 'forwarded', placement: gateway.createPlacement(isPrimary, pool.tracker)});
+		}
+	}
+
 	/** Lets a read choose another instance when the one that it waits for is silent. */
 	#abandonSilentInstance(waiter: Waiter, now: number): void {
 		if (waiter.request.target === 'any' && waiter.openingPool?.tracker.getSilentSince(now) !== undefined) {
@@ -439,18 +476,23 @@
 	#startOpening(waiter: Waiter, pool: InstancePool): void {
 		if (waiter.openingPool === undefined) {
 			waiter.openingPool = pool;
-			void this.#open(waiter, pool);
+			this.dependencies.tasks.run('instance connection', async () => this.#open(waiter, pool));
 		}
 	}
 
 	async #open(waiter: Waiter, pool: InstancePool): Promise<void> {
 		const startedAt = this.dependencies.clock.now();
-		const failure = await pool.open(waiter.request.account, this.#limits.getLimit(pool));
-		if (failure === undefined) {
-			this.dependencies.router?.recordOpening(pool.instance, waiter.request.account, this.dependencies.clock.now() - startedAt);
+		let failure: ConnectFailure | undefined;
+		try {
+			failure = await pool.open(waiter.request.account, this.#limits.getLimit(pool));
+			if (failure === undefined) {
+				this.dependencies.router?.recordOpening(pool.instance, waiter.request.account, this.dependencies.clock.now() - startedAt);
+			}
+		} finally {
+			// A request that stays marked would open no other connection.
+			waiter.openingPool = waiter.openingPool === pool ? undefined : waiter.openingPool;
 		}
 
-		waiter.openingPool = waiter.openingPool === pool ? undefined : waiter.openingPool;
 		if (failure !== undefined && waiter.request.target === 'any' && failure.reason !== 'connection-limit' && failure.reason !== 'busy') {
 			waiter.excluded.add(pool.instance.id);
 		}
@@ -515,7 +557,7 @@
 		if (!this.#dispatchTimers.has(group)) {
 			this.#dispatchTimers.set(group, setTimeout(() => {
 				this.#dispatchTimers.delete(group);
-				this.#dispatchGroup(group);
+				this.#tryDispatchGroup(group);
 			}, Math.min(delayMs, waiterCheckIntervalMs)));
 		}
 	}
@@ -588,25 +630,11 @@
 	/** Refuses the waiting requests whose deadline expired or whose primary is not usable, and dispatches the others. */
 	#checkWaiters(): void {
 		this.#waiterCheckTimer = undefined;
-		const now = this.dependencies.clock.now();
 		for (const [group, queue] of this.#queues) {
-			for (const {value: waiter} of queue.removeExpired(now)) {
-				this.dependencies.metrics.addCount('place_expired');
-				const {request} = waiter;
-				const isPrimaryMissing = request.target === 'primary' && this.dependencies.terms.getUsablePrimary(group) === undefined;
-				waiter.settle({kind: 'refused', refusal: isPrimaryMissing ? refusals.noPrimary(group) : this.admission.refuseExpired(request, now - waiter.queuedAt)});
-			}
-
-			for (const waiter of this.#waiters.get(group) ?? []) {
-				this.#abandonSilentInstance(waiter, now);
-				const refusal = this.#checkPrimary(waiter.request);
-				if (refusal !== undefined) {
-					queue.removeEntry(waiter);
-					waiter.settle({kind: 'refused', refusal});
-				}
-			}
-
-			this.#dispatchGroup(group);
+			this.dependencies.tasks.tryCall('waiting requests', () => {
+				this.#checkGroupWaiters(group, queue);
+			});
+			this.#tryDispatchGroup(group);
 		}
 
 		if (this.countWaiting() > 0) {
@@ -616,6 +644,30 @@
 		}
 	}
 
+	#checkGroupWaiters(group: string, queue: FairQueue<Waiter>): void {
+		const now = this.dependencies.clock.now();
+		for (const {value: waiter} of queue.removeExpired(now)) {
+			this.dependencies.metrics.addCount('place_expired');
+			this.#settleRemoved(waiter, () => {
+				waiter.settle({kind: 'refused', refusal: this.#createExpiryRefusal(waiter, now)});
+			});
+		}
+
+		for (const waiter of this.#waiters.get(group) ?? []) {
+			this.#abandonSilentInstance(waiter, now);
+			const refusal = this.#checkPrimary(waiter.request);
+			if (refusal !== undefined) {
+				queue.removeEntry(waiter);
+				waiter.settle({kind: 'refused', refusal});
+			}
+		}
+	}
+
+	#createExpiryRefusal({request, queuedAt}: Waiter, now: number): Refusal {
+		const isPrimaryMissing = request.target === 'primary' && this.dependencies.terms.getUsablePrimary(request.group) === undefined;
+		return isPrimaryMissing ? refusals.noPrimary(request.group) : this.admission.refuseExpired(request, now - queuedAt);
+	}
+
 	#handleInstanceChange(before: Instance | undefined, after: Instance | undefined): void {
 		const isReplaced = before !== undefined && (before.bornMs !== after?.bornMs || before.address !== after?.address);
 		if (isReplaced) {
@@ -626,13 +678,13 @@
 		if (after !== undefined && !this.#pools.has(after.id)) {
 			this.#pools.set(after.id, new InstancePool(after, {
 				...this.dependencies, onConnectionFreed: () => {
-					this.#dispatchGroup(after.group);
+					this.#tryDispatchGroup(after.group);
 				},
 			}));
 		}
 
 		if (after !== undefined) {
-			this.#dispatchGroup(after.group);
+			this.#tryDispatchGroup(after.group);
 		}
 	}
 }
--- a/packages/gateway/src/dispatch/instance-pool.ts
+++ b/packages/gateway/src/dispatch/instance-pool.ts
@@ -1,6 +1,8 @@
 import {ConnectionAllowance} from '@chicorysaddle/decisions';
 import {type Instance} from '../instances/index.js';
-import {type Clock, type ConnectFailure, type InstanceConnector} from '../ports/index.js';
+import {
+	type Clock, type ConnectFailure, type ConnectResult, type InstanceConnector,
+} from '../ports/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {InstanceTracker} from './instance-tracker.js';
 import {type NetworkDistance} from './network-distance.js';
@@ -107,9 +109,14 @@
 		this.#openingCount += 1;
 		const startedAt = this.dependencies.clock.now();
 		const pendingRequest = this.tracker.addPendingRequest('connection', startedAt);
-		const result = await this.dependencies.connector.open(this.instance, account, connectTimeoutMs);
-		this.tracker.removePendingRequest(pendingRequest);
-		this.#openingCount -= 1;
+		let result: ConnectResult;
+		try {
+			result = await this.dependencies.connector.open(this.instance, account, connectTimeoutMs);
+		} finally {
+			this.tracker.removePendingRequest(pendingRequest);
+			this.#openingCount -= 1;
+		}
+
 		const now = this.dependencies.clock.now();
 		if (result.kind === 'failed') {
 			this.#recordFailure(result.failure, startedAt, now);
--- a/packages/gateway/src/evacuation/evacuation-monitor.ts
+++ b/packages/gateway/src/evacuation/evacuation-monitor.ts
@@ -1,6 +1,7 @@
 import {type Instance, type InstanceRegistry} from '../instances/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock} from '../ports/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {type TermRegistry} from '../terms/index.js';
 import {type EvacuationChange, type EvacuationRegistry} from './evacuation-registry.js';
 import {type InstanceGuard} from './instance-guard.js';
@@ -17,6 +18,7 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
+	readonly tasks: BackgroundTasks;
 };
 
 /** Logs evacuations as this VM sees them, and provides their gauges. */
@@ -29,10 +31,10 @@
 
 	/** Adds the gauges, and starts to log evacuations. */
 	start(): void {
-		const {evacuations, instances, metrics} = this.dependencies;
-		evacuations.onChanged(change => {
+		const {evacuations, instances, metrics, tasks} = this.dependencies;
+		evacuations.onChanged(tasks.createCallback('evacuation log', change => {
 			this.#handleChange(change);
-		});
+		}));
 		metrics.addGauge('evacuated_zones', () => evacuations.count);
 		metrics.addGauge('evacuated_instances', () => instances.getListedInstances().filter(({zone}) => evacuations.isEvacuated(zone)).length);
 	}
@@ -71,9 +73,9 @@
 		}
 
 		if (this.#pending.size > 0) {
-			this.#timer = setTimeout(() => {
+			this.#timer = setTimeout(this.dependencies.tasks.createCallback('evacuation log', () => {
 				this.#checkPending();
-			}, checkIntervalMs);
+			}), checkIntervalMs);
 			this.#timer.unref();
 		}
 	}
--- a/packages/gateway/src/forwarding/forwarding-client.ts
+++ b/packages/gateway/src/forwarding/forwarding-client.ts
@@ -92,7 +92,7 @@
 
 	#notifyCapacityFreed(): void {
 		for (const listener of this.#capacityListeners) {
-			listener();
+			this.dependencies.tasks.tryCall('dispatch', listener);
 		}
 	}
 
--- a/packages/gateway/src/forwarding/forwarding-server.ts
+++ b/packages/gateway/src/forwarding/forwarding-server.ts
@@ -7,6 +7,7 @@
 import {type Clock, type PeerLink} from '../ports/index.js';
 import {canRequirePosition, type StatementRunner} from '../sessions/index.js';
 import {type OutgoingStatement, type RunResult} from '../statements/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {isCommitAnswered} from './forwarding-client.js';
 import {type GatewayDirectory} from './gateway-directory.js';
 import {encodeOutcome} from './outcome-codec.js';
@@ -42,6 +43,7 @@
 	readonly clock: Clock;
 	readonly metrics: GatewayMetrics;
 	readonly log: EventLog;
+	readonly tasks: BackgroundTasks;
 };
 
 /** A statement of another VM that is not answered yet. */
@@ -151,7 +153,7 @@
 	#handleAcceptedMessage(link: PeerLink, state: LinkState, message: Exclude<ForwardingMessage, {kind: 'forward-open'}>): void {
 		switch (message.kind) {
 			case 'forward': {
-				void this.#handleForward(link, state, message);
+				this.dependencies.tasks.run('forwarded statement', async () => this.#handleForward(link, state, message));
 				return;
 			}
 
@@ -267,7 +269,13 @@
 		const operation = {
 			route: {group: message.group}, session: state.sessions.getSession(message), lastCommit: message.requiredPosition, lastCommitAt: getCommittedAt(statement), isForwarded: true, mayHaveRun: false,
 		};
-		return this.dependencies.runner.run(placement, operation, outgoing, message.prepared, receivedAt + message.runMs);
+		try {
+			return await this.dependencies.runner.run(placement, operation, outgoing, message.prepared, receivedAt + message.runMs);
+		} catch (error) {
+			this.dependencies.log.logEvent('session.error', {connection: state.vm, request: message.statementId ?? String(message.id), error: error instanceof Error ? error.stack ?? error.message : String(error)});
+			// The instance may have run the statement, so its connection is closed.
+			return {kind: 'lost', reason: 'closed'};
+		}
 	}
 
 	/** Answers a statement outside a transaction; a read of a silent instance is answered as lost before it ends. */
@@ -286,11 +294,11 @@
 	async #waitUnlessSilent({pool}: Placement, finished: Promise<ForwardOutcome>): Promise<ForwardOutcome> {
 		let timer: NodeJS.Timeout | undefined;
 		const silence = new Promise<ForwardOutcome>(resolve => {
-			timer = setInterval(() => {
+			timer = setInterval(this.dependencies.tasks.createCallback('silence check', () => {
 				if (pool.tracker.getSilentSince(this.dependencies.clock.now()) !== undefined) {
 					resolve({kind: 'lost', reason: 'timeout'});
 				}
-			}, silenceCheckIntervalMs);
+			}), silenceCheckIntervalMs);
 		});
 		try {
 			return await Promise.race([finished, silence]);
@@ -336,7 +344,7 @@
 			state.transactions.delete(id);
 			this.dependencies.dispatcher.release(transaction.placement, result.kind === 'completed' && result.state === 'idle');
 		} else if (transaction.isEnded) {
-			void this.#rollBack(state, id, transaction);
+			this.#startRollBack(state, id, transaction);
 		} else {
 			this.#startIdleTimer(state, id);
 		}
@@ -349,9 +357,9 @@
 		const transaction = state.transactions.get(id);
 		const idleMs = this.dependencies.configuration.configuration?.transactionIdleMs;
 		if (transaction !== undefined && idleMs !== undefined) {
-			transaction.idleTimer = setTimeout(() => {
+			transaction.idleTimer = setTimeout(this.dependencies.tasks.createCallback('idle transaction', () => {
 				this.#endTransaction(state, id);
-			}, idleMs + idleMarginMs);
+			}), idleMs + idleMarginMs);
 		}
 	}
 
@@ -362,11 +370,15 @@
 			transaction.isEnded = true;
 			clearTimeout(transaction.idleTimer);
 			if (!transaction.isRunning) {
-				void this.#rollBack(state, id, transaction);
+				this.#startRollBack(state, id, transaction);
 			}
 		}
 	}
 
+	#startRollBack(state: LinkState, id: number, transaction: RemoteTransaction): void {
+		this.dependencies.tasks.run('rollback', async () => this.#rollBack(state, id, transaction));
+	}
+
 	async #rollBack(state: LinkState, id: number, {placement}: RemoteTransaction): Promise<void> {
 		const {dispatcher} = this.dependencies;
 		if (placement.connection.isCutOff || dispatcher.isCutOff(placement.pool.instance)) {
@@ -376,9 +388,15 @@
 			return;
 		}
 
-		const [outcome] = await placement.connection.instanceConnection.run([{statement: {kind: 'control-roll-back'}}], rollBackTimeoutMs);
-		state.transactions.delete(id);
-		this.dependencies.dispatcher.release(placement, outcome?.kind === 'completed' && outcome.state === 'idle');
+		let isRolledBack = false;
+		try {
+			const [outcome] = await placement.connection.instanceConnection.run([{statement: {kind: 'control-roll-back'}}], rollBackTimeoutMs);
+			isRolledBack = outcome?.kind === 'completed' && outcome.state === 'idle';
+		} finally {
+			state.transactions.delete(id);
+			// A connection that may be inside a transaction is closed.
+			dispatcher.release(placement, isRolledBack);
+		}
 	}
 
 	#abandonStatement(statement: RemoteStatement | undefined): void {
@@ -400,9 +418,9 @@
 	}
 
 	#startProgressTimer(): void {
-		this.#progressTimer ??= setInterval(() => {
+		this.#progressTimer ??= setInterval(this.dependencies.tasks.createCallback('forwarding progress', () => {
 			this.#sendProgress();
-		}, progressIntervalMs);
+		}), progressIntervalMs);
 	}
 
 	#sendProgress(): void {
--- a/packages/gateway/src/forwarding/gateway-link.ts
+++ b/packages/gateway/src/forwarding/gateway-link.ts
@@ -3,6 +3,7 @@
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock, type PeerLink, type PeerNetwork} from '../ports/index.js';
 import {type ForwardResult} from '../statements/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {type GatewayMember} from './gateway-directory.js';
 import {decodeOutcome} from './outcome-codec.js';
 
@@ -22,6 +23,7 @@
 	readonly clock: Clock;
 	readonly metrics: GatewayMetrics;
 	readonly log: EventLog;
+	readonly tasks: BackgroundTasks;
 };
 
 type PendingForward = {
@@ -116,9 +118,9 @@
 		}
 
 		return new Promise(resolve => {
-			const timer = setTimeout(() => {
+			const timer = setTimeout(this.dependencies.tasks.createCallback('forwarded statement', () => {
 				this.#abandon(channel, message.id);
-			}, Math.max(1, message.runMs));
+			}), Math.max(1, message.runMs));
 			channel.pending.set(message.id, {
 				instanceId: message.instance, sentAt, timer, settle: resolve,
 			});
--- a/packages/gateway/src/instances/instance-watcher.ts
+++ b/packages/gateway/src/instances/instance-watcher.ts
@@ -42,7 +42,12 @@
 		this.#backoff = new Backoff(initialBackoffMs, maxBackoffMs, random);
 	}
 
-	/** Polls the store for the list of instances until stopped. */
+	/** Whether polling was stopped. */
+	get isStopped(): boolean {
+		return this.#isStopped;
+	}
+
+	/** Polls the store for the list of instances until stopped; may be called again after an error. */
 	async run(): Promise<void> {
 		while (!this.#isStopped) {
 			const isSuccessful = this.#isPolling ? await this.#read() : true;
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -65,18 +65,19 @@
 
 	/** Starts the background tasks. */
 	async start(): Promise<void> {
-		void this.configurationWatcher.run();
-		void this.instanceWatcher.run();
+		const {tasks} = this.dependencies;
+		tasks.runLoop('configuration watch', async () => this.configurationWatcher.run(), () => this.configurationWatcher.isStopped);
+		tasks.runLoop('instance watch', async () => this.instanceWatcher.run(), () => this.instanceWatcher.isStopped);
 		await this.member.start();
 		setTimeout(() => {
-			void this.dependencies.metrics.loadHistograms();
+			tasks.run('histograms', async () => this.dependencies.metrics.loadHistograms());
 		}, histogramDelayMs).unref();
-		setInterval(() => {
+		setInterval(tasks.createCallback('summary', () => {
 			const {metrics, dispatcher, log} = this.dependencies;
 			log.logEvent('summary', {
 				gains: metrics.takeCounterIncreases(), sessions: this.#sessions.size, waiting: dispatcher.countWaiting(), connections: dispatcher.formatPoolUsage(),
 			});
-		}, summaryIntervalMs).unref();
+		}), summaryIntervalMs).unref();
 	}
 
 	/** Opens a session for a caller, or rejects it and returns undefined. */
@@ -119,7 +120,7 @@
 		const startedAt = this.dependencies.clock.now();
 		this.#drain.phase = 'leaving-rotation';
 		this.dependencies.log.logEvent('shutdown.begun', {sessions: this.#sessions.size, graceMs: timing.graceMs});
-		void this.member.handOver();
+		this.dependencies.tasks.run('hand-over', async () => this.member.handOver());
 		const elapsed = () => this.dependencies.clock.now() - startedAt;
 		const rotationMs = Math.min(timing.rotationMs, timing.graceMs - exitReserveMs - sessionReserveMs);
 		while (elapsed() < rotationMs) {
@@ -166,7 +167,9 @@
 
 	#closeRevokedSessions(): void {
 		for (const session of this.#sessions) {
-			session.closeIfRevoked();
+			this.dependencies.tasks.tryCall('withdrawn key', () => {
+				session.closeIfRevoked();
+			});
 		}
 	}
 }
--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -4,6 +4,7 @@
 import {type ConfigurationView} from '../configuration/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type AdjustableSettingsSource, type Clock} from '../ports/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 
 /** Requests tokens from the coordinator; resolves to undefined if it does not respond. */
 export type TokenRequester = (demands: Readonly<Record<string, TokenDemand>>) => Promise<Readonly<Record<string, TokenGrant>> | undefined>;
@@ -20,8 +21,21 @@
 /** Minimum lifetime of a released token, in milliseconds: long enough for the next statements of the account. */
 const releasedTokenLifetimeMs = 300;
 
+/** Retry delay of operations on which no decision could be made because of an error, in milliseconds. */
+const undecidedRetryMs = 200;
+
 const msPerSecond = 1000;
 
+/** Dependencies of an `AccountLimiter`. */
+export type AccountLimiterDependencies = {
+	readonly configuration: ConfigurationView;
+	readonly getSettings: AdjustableSettingsSource;
+	readonly clock: Clock;
+	readonly metrics: GatewayMetrics;
+	readonly log: EventLog;
+	readonly tasks: BackgroundTasks;
+};
+
 /** An operation that waits for a token. */
 type Waiter = {
 	readonly isUrgent: boolean;
@@ -63,13 +77,7 @@
 	/** Monotonic time since which limits are enforced locally, in milliseconds; undefined while the coordinator responds. */
 	#localModeSince: number | undefined;
 
-	constructor(
-		private readonly configuration: ConfigurationView,
-		private readonly getSettings: AdjustableSettingsSource,
-		private readonly clock: Clock,
-		private readonly metrics: GatewayMetrics,
-		private readonly log: EventLog,
-	) {}
+	constructor(private readonly dependencies: AccountLimiterDependencies) {}
 
 	/** Sets the function that requests tokens from the coordinator. */
 	setTokenRequester(requestTokens: TokenRequester): void {
@@ -85,11 +93,11 @@
 
 	/** Returns the usage of all accounts with operations in the last window, for a coordinator that may not know it. */
 	createUsageReport(): AccountUsage[] {
-		const now = this.clock.now();
+		const now = this.dependencies.clock.now();
 		return [...this.#accounts].flatMap(([account, state]) => {
 			state.admitted.moveTo(state.reported, 1, now);
 			const counts = state.usage.exportCounts(now);
-			const stated = state.lastStated !== undefined && now - state.lastStated.at < this.getSettings().limitWindowMs ? state.lastStated : undefined;
+			const stated = state.lastStated !== undefined && now - state.lastStated.at < this.dependencies.getSettings().limitWindowMs ? state.lastStated : undefined;
 			return counts.length === 0 && stated === undefined
 				? []
 				: [{
@@ -111,7 +119,7 @@
 	 * @returns 0 if the operation is admitted, otherwise the time after which to retry, in milliseconds.
 	 */
 	async acquireToken(account: string, isUrgent: boolean): Promise<number> {
-		const now = this.clock.now();
+		const now = this.dependencies.clock.now();
 		const state = this.#getState(account);
 		if (state.availableTokens > 0 && now < state.tokensExpireAt) {
 			state.availableTokens -= 1;
@@ -138,7 +146,7 @@
 			return;
 		}
 
-		const now = this.clock.now();
+		const now = this.dependencies.clock.now();
 		state.usage.add(-1, now);
 		if (state.local === undefined) {
 			state.availableTokens = now < state.tokensExpireAt ? state.availableTokens + 1 : 1;
@@ -150,7 +158,7 @@
 
 	/** Describes an account's limit, and whether it is enforced across all VMs or by this one alone, for a refusal message. */
 	formatLimit(account: string): string {
-		const limit = this.configuration.getAccount(account);
+		const limit = this.dependencies.configuration.getAccount(account);
 		const scope = this.#localModeSince === undefined ? 'over all VMs' : `kept by this VM alone, one of ${this.#memberCount ?? 'an unknown number'}`;
 		return `${limit?.ratePerS ?? 0} operations a second, ${limit?.burst ?? 0} at once, ${scope}`;
 	}
@@ -160,7 +168,7 @@
 			this.#isTokenRequestScheduled = true;
 			setImmediate(() => {
 				this.#isTokenRequestScheduled = false;
-				void this.#requestPendingTokens();
+				this.dependencies.tasks.run('token request', async () => this.#requestPendingTokens());
 			});
 		}
 	}
@@ -169,8 +177,8 @@
 		const waitersByAccount = new Map<string, Waiter[]>();
 		const admittedByAccount = new Map<string, SlidingWindowCounter>();
 		const demands: Record<string, TokenDemand> = {};
-		const now = this.clock.now();
-		const prefetchFraction = (prefetchHorizonS * msPerSecond) / this.getSettings().limitWindowMs;
+		const now = this.dependencies.clock.now();
+		const prefetchFraction = (prefetchHorizonS * msPerSecond) / this.dependencies.getSettings().limitWindowMs;
 		for (const [account, state] of this.#accounts) {
 			if (state.waiters.length > 0 && !state.isRequestPending) {
 				state.isRequestPending = true;
@@ -189,16 +197,21 @@
 			return;
 		}
 
-		const grants = await this.#requestTokens?.(demands);
+		const grants = await this.#tryRequestTokens(demands);
 		for (const [account, waiters] of waitersByAccount) {
 			const state = this.#getState(account);
 			state.isRequestPending = false;
-			const grant = grants?.[account];
-			if (grant === undefined) {
-				admittedByAccount.get(account)!.moveTo(state.admitted, 1, this.clock.now());
-				this.#applyLocalLimit(account, state, waiters);
-			} else {
-				this.#applyGrant(state, waiters, {grant, requestedAt: now});
+			const isDecided = this.dependencies.tasks.tryCall('token request', () => {
+				const grant = grants?.[account];
+				if (grant === undefined) {
+					admittedByAccount.get(account)!.moveTo(state.admitted, 1, this.dependencies.clock.now());
+					this.#applyLocalLimit(account, state, waiters);
+				} else {
+					this.#applyGrant(state, waiters, {grant, requestedAt: now});
+				}
+			});
+			for (const {settle} of isDecided ? [] : waiters) {
+				settle(undecidedRetryMs);
 			}
 		}
 
@@ -207,14 +220,24 @@
 		}
 	}
 
+	/** Requests tokens; an error counts as no answer of the coordinator. */
+	async #tryRequestTokens(demands: Readonly<Record<string, TokenDemand>>): ReturnType<TokenRequester> {
+		try {
+			return await this.#requestTokens?.(demands);
+		} catch (error) {
+			this.dependencies.tasks.recordFailure('token request', error);
+			return undefined;
+		}
+	}
+
 	/** @param waiters - The waiting operations, urgent ones first. */
 	#applyGrant(state: AccountState, waiters: readonly Waiter[], {grant, requestedAt}: {readonly grant: TokenGrant; readonly requestedAt: number}): void {
-		const now = this.clock.now();
+		const now = this.dependencies.clock.now();
 		state.local = undefined;
 		state.lastFree = grant.free === undefined ? state.lastFree : {count: grant.free, at: now};
 		state.lastStated = grant.used === undefined ? state.lastStated : {used: grant.used, at: requestedAt};
 		if (this.#localModeSince !== undefined) {
-			this.log.logEvent('limits.shared', {localMs: Math.round(now - this.#localModeSince)});
+			this.dependencies.log.logEvent('limits.shared', {localMs: Math.round(now - this.#localModeSince)});
 			this.#localModeSince = undefined;
 		}
 
@@ -236,11 +259,11 @@
 	}
 
 	#applyLocalLimit(account: string, state: AccountState, waiters: readonly Waiter[]): void {
-		const now = this.clock.now();
-		this.metrics.addCount('limit_unheard');
+		const now = this.dependencies.clock.now();
+		this.dependencies.metrics.addCount('limit_unheard');
 		if (this.#localModeSince === undefined) {
 			this.#localModeSince = now;
-			this.log.logEvent('limits.local', {members: this.#memberCount ?? 0});
+			this.dependencies.log.logEvent('limits.local', {members: this.#memberCount ?? 0});
 		}
 
 		if (this.#memberCount === undefined) {
@@ -265,7 +288,7 @@
 	}
 
 	#admitLocally(state: AccountState, settle: Waiter['settle'], now: number): void {
-		this.metrics.addCount('limit_admitted_locally');
+		this.dependencies.metrics.addCount('limit_admitted_locally');
 		state.admitted.add(1, now);
 		state.usage.add(1, now);
 		settle(0);
@@ -273,8 +296,8 @@
 
 	/** Returns the operations that this VM may admit without the coordinator in the window that ends now. */
 	#countAllowedLocally(account: string, memberCount: number, state: AccountState, now: number): number {
-		const {limitWindowMs} = this.getSettings();
-		const limit = this.configuration.getAccount(account);
+		const {limitWindowMs} = this.dependencies.getSettings();
+		const limit = this.dependencies.configuration.getAccount(account);
 		state.local ??= {
 			used: state.usage.getCount(now), free: state.lastFree?.count ?? 0, freeAgeMs: now - (state.lastFree?.at ?? Number.NEGATIVE_INFINITY), since: now,
 		};
@@ -282,7 +305,7 @@
 	}
 
 	#createCounter(): SlidingWindowCounter {
-		return new SlidingWindowCounter(this.getSettings().limitWindowMs);
+		return new SlidingWindowCounter(this.dependencies.getSettings().limitWindowMs);
 	}
 
 	#getState(account: string): AccountState {
--- a/packages/gateway/src/observability/event-log.ts
+++ b/packages/gateway/src/observability/event-log.ts
@@ -20,7 +20,7 @@
 /** Window over which lines are counted for the rate limits, in milliseconds. */
 const rateWindowMs = 1000;
 
-/** Writes events as JSON lines, with bounded rate and memory. */
+/** Writes events as JSON lines, with bounded rate and memory; a line that cannot be written is dropped and counted. */
 export class EventLog {
 	readonly #roarr;
 	#windowEndsAt = 0;
@@ -40,6 +40,15 @@
 	 * @param fields - Event fields as defined in the catalogue.
 	 */
 	logEvent<Name extends EventName>(name: Name, fields: EventFieldsByName<Name>): void {
+		try {
+			this.#writeEvent(name, fields);
+		} catch {
+			// What is logged has been done already, so an output that fails must not undo or repeat it.
+			this.#omittedLines += 1;
+		}
+	}
+
+	#writeEvent<Name extends EventName>(name: Name, fields: EventFieldsByName<Name>): void {
 		const now = Date.now();
 		if (now >= this.#windowEndsAt || now < this.#windowEndsAt - rateWindowMs) {
 			this.#startWindow(now);
--- a/packages/gateway/src/sessions/autocommit-runner.ts
+++ b/packages/gateway/src/sessions/autocommit-runner.ts
@@ -4,7 +4,7 @@
 import {fetchRequiredPosition, getCommitTime, type Operation} from './operation.js';
 import {type SessionDependencies} from './session-dependencies.js';
 import {
-	acquirePlace, isGatewayFailure, isInstanceFailure, type StatementPlace,
+	acquirePlace, isGatewayFailure, isInstanceFailure, runOrRelease, type StatementPlace,
 } from './statement-place.js';
 import {isWriteStatement, type StatementRunner} from './statement-runner.js';
 
@@ -84,12 +84,12 @@
 	/** Waits for the outcome of a read attempt or of an earlier unanswered one; returns `doubtful` when the instance of this attempt becomes silent first. */
 	async #waitForOutcome(attempt: Attempt, running: Promise<OperationOutcome | undefined>, unanswered: ReadonlySet<Promise<OperationOutcome | undefined>>): Promise<OperationOutcome | 'doubtful' | undefined> {
 		return new Promise((resolve, reject) => {
-			const timer = setInterval(() => {
+			const timer = setInterval(this.dependencies.tasks.createCallback('silence check', () => {
 				if (attempt.place?.isSilent() === true) {
 					clearInterval(timer);
 					resolve('doubtful');
 				}
-			}, silenceCheckIntervalMs);
+			}), silenceCheckIntervalMs);
 			running.then(outcome => {
 				clearInterval(timer);
 				resolve(outcome);
@@ -123,7 +123,7 @@
 
 		attempt.place = place;
 		const outgoing = {id: request.id, statement: request.statement, ...(!place.isPrimary && requiredPosition !== undefined && {since: requiredPosition})};
-		const result = await place.run(operation, outgoing, prepared, deadline);
+		const result = await runOrRelease(place, operation, outgoing, prepared, deadline);
 		place.release(result.kind !== 'lost' && result.kind !== 'refused' && result.state === 'idle');
 		const outcome = await this.#resolveOutcome(attempt, place, result);
 		if (outcome === undefined) {
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -1,7 +1,7 @@
 import {refusals, type LogPosition, type Refusal} from '@chicorysaddle/model';
 import {getPriorityClass, type ClientAccount} from '../configuration/index.js';
 import {type PreparedStatement, type SessionValues} from '../dispatch/index.js';
-import {type CallerConnection} from '../ports/index.js';
+import {type CallerAnswer, type CallerConnection} from '../ports/index.js';
 import {type SessionState, type StatementKind, type StatementRequest} from '../statements/index.js';
 import {chooseAccountName, type Operation, type AdmissionResult} from './operation.js';
 import {type SessionIdentity, type SessionDependencies} from './session-dependencies.js';
@@ -37,6 +37,8 @@
 	#lastCommitAt: number | undefined;
 	#closeTimer: NodeJS.Timeout | undefined;
 	#isRunning = false;
+	/** Whether the running statement was answered. */
+	#isAnswered = false;
 	#isClosed = false;
 	/** Whether the session is closed as soon as it stays idle. */
 	#isClosing = false;
@@ -113,7 +115,7 @@
 
 		this.#waiting.push({request, receivedAt: this.dependencies.clock.now()});
 		if (!this.#isRunning) {
-			void this.#runWaiting();
+			this.dependencies.tasks.run('session', async () => this.#runWaiting());
 		}
 	}
 
@@ -160,20 +162,40 @@
 		}
 	}
 
+	/** Runs the waiting statements; an error outside their handling ends the session, so that the caller counts the outcome of what it sent as unknown. */
 	async #runWaiting(): Promise<void> {
 		this.#isRunning = true;
+		try {
+			await this.#runEach();
+		} catch (error) {
+			this.#abort();
+			throw error;
+		} finally {
+			this.#isRunning = false;
+		}
+
+		this.#startTransactionIdleTimer();
+		this.#closeIfIdle();
+	}
+
+	async #runEach(): Promise<void> {
 		for (let next = this.#waiting.shift(); next !== undefined && !this.#isClosed; next = this.#waiting.shift()) {
 			clearTimeout(this.#transactionIdleTimer);
 			await this.#runHandler(next.request, next.receivedAt);
 			this.dependencies.metrics.recordDuration('statement', this.dependencies.clock.now() - next.receivedAt);
 		}
+	}
 
-		this.#isRunning = false;
-		this.#startTransactionIdleTimer();
-		this.#closeIfIdle();
+	/** Closes the connection of the caller and ends the session and its transaction. */
+	#abort(): void {
+		this.dependencies.tasks.tryCall('session', () => {
+			this.caller.close();
+		});
+		this.handleCallerClosed();
 	}
 
 	async #runHandler(request: StatementRequest, receivedAt: number): Promise<void> {
+		this.#isAnswered = false;
 		const {kind} = request.statement;
 		if (this.#state === 'failed-transaction' && !acceptedInFailedTransaction.has(kind)) {
 			const refusal = this.#rollBackRefusal ?? refusals.invalid('the transaction failed; roll it back');
@@ -192,10 +214,26 @@
 			await this.#handlers[kind](request, receivedAt);
 		} catch (error) {
 			this.dependencies.log.logEvent('session.error', {connection: this.identity.connectionId, request: request.id, error: error instanceof Error ? error.stack ?? error.message : String(error)});
+			if (this.#isAnswered) {
+				throw error;
+			}
+
+			this.#failAfterError(kind);
 			this.#refuse(request, refusals.outcomeUnknown('internal error'));
 		}
 	}
 
+	/** Ends the transaction in which an error occurred, so that nothing of it runs again. */
+	#failAfterError(kind: StatementKind): void {
+		if (this.#transaction !== undefined) {
+			this.#failTransaction();
+		}
+
+		if (acceptedInFailedTransaction.has(kind)) {
+			this.#state = 'idle';
+		}
+	}
+
 	async #begin(request: StatementRequest, startedAt: number): Promise<void> {
 		if (this.#state !== 'idle') {
 			this.#refuse(request, refusals.invalid('a transaction is open already'));
@@ -401,11 +439,11 @@
 			return;
 		}
 
-		this.#transactionIdleTimer = setTimeout(() => {
+		this.#transactionIdleTimer = setTimeout(this.dependencies.tasks.createCallback('idle transaction', () => {
 			this.dependencies.metrics.addCount('transaction_idle');
 			this.#failTransaction();
 			this.#rollBackRefusal = refusals.transactionAborted('it was idle for too long');
-		}, idleMs);
+		}), idleMs);
 	}
 
 	#answer(request: StatementRequest, outcome: OperationOutcome): void {
@@ -421,16 +459,19 @@
 
 		this.dependencies.metrics.addCount('completed');
 		this.dependencies.log.logEvent('statement.completed', {connection: this.identity.connectionId, request: request.id, statement: request.statement.kind});
+		this.#sendAnswer({result: {kind: 'completed', rows: outcome.rows, signature: outcome.signature}, state: this.#state, position: outcome.position});
+	}
+
+	#sendAnswer(answer: CallerAnswer): void {
 		if (!this.#isClosed) {
-			this.caller.sendAnswer({result: {kind: 'completed', rows: outcome.rows, signature: outcome.signature}, state: this.#state, position: outcome.position});
+			this.#isAnswered = true;
+			this.caller.sendAnswer(answer);
 		}
 	}
 
 	/** Answers a statement that the gateway handles itself. */
 	#acknowledge(): void {
-		if (!this.#isClosed) {
-			this.caller.sendAnswer({result: {kind: 'completed', rows: [], signature: undefined}, state: this.#state, position: undefined});
-		}
+		this.#sendAnswer({result: {kind: 'completed', rows: [], signature: undefined}, state: this.#state, position: undefined});
 	}
 
 	/** @param isFinal - Whether to close the session after the refusal. */
@@ -442,11 +483,9 @@
 			ran: refusal.details.ran, retryAfterMs: refusal.retryAfterMs, state: this.#state,
 			places: refusal.kind === 'overloaded' ? this.dependencies.dispatcher.formatPoolUsage(this.#getGroup()) : undefined, configuration: this.dependencies.configuration.version,
 		});
-		if (!this.#isClosed) {
-			this.caller.sendAnswer({result: {kind: 'refused', refusal}, state: this.#state, position: undefined});
-			if (isFinal) {
-				this.caller.close();
-			}
+		this.#sendAnswer({result: {kind: 'refused', refusal}, state: this.#state, position: undefined});
+		if (isFinal && !this.#isClosed) {
+			this.caller.close();
 		}
 	}
 
@@ -457,10 +496,10 @@
 		}
 
 		clearTimeout(this.#closeTimer);
-		this.#closeTimer = setTimeout(() => {
+		this.#closeTimer = setTimeout(this.dependencies.tasks.createCallback('idle session', () => {
 			if (this.isIdle && !this.#isClosed) {
 				this.caller.close();
 			}
-		}, idleBeforeCloseMs);
+		}), idleBeforeCloseMs);
 	}
 }
--- a/packages/gateway/src/sessions/session-dependencies.ts
+++ b/packages/gateway/src/sessions/session-dependencies.ts
@@ -6,6 +6,7 @@
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock} from '../ports/index.js';
 import {type PositionSurveyor} from '../positions/index.js';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {type TermRegistry} from '../terms/index.js';
 
 /** Dependencies of sessions. */
@@ -19,6 +20,7 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
+	readonly tasks: BackgroundTasks;
 	/** Absent where no operation is forwarded. */
 	readonly forwarding?: Forwarding | undefined;
 };
--- a/packages/gateway/src/sessions/statement-place.ts
+++ b/packages/gateway/src/sessions/statement-place.ts
@@ -51,6 +51,16 @@
 	return isGatewayFailure(place, result) ? isLost && place.isOpen && !place.isSilent() : isLost || !place.isPrimary;
 }
 
+/** Runs a statement at a place; gives the place back, not to be used again, if that causes an error. */
+export async function runOrRelease(place: StatementPlace, ...statement: Parameters<StatementPlace['run']>): Promise<ForwardResult> {
+	try {
+		return await place.run(...statement);
+	} catch (error) {
+		place.release(false);
+		throw error;
+	}
+}
+
 /** Creates a place on a connection of this VM. */
 function createLocalPlace(placement: Placement, {dispatcher, clock}: SessionDependencies, runner: StatementRunner): StatementPlace {
 	const {instanceConnection} = placement.connection;
@@ -73,8 +83,14 @@
 				return;
 			}
 
-			const [outcome] = await instanceConnection.run([{statement: {kind: 'control-roll-back'}}], rollBackTimeoutMs);
-			dispatcher.release(placement, outcome?.kind === 'completed' && outcome.state === 'idle');
+			let isRolledBack = false;
+			try {
+				const [outcome] = await instanceConnection.run([{statement: {kind: 'control-roll-back'}}], rollBackTimeoutMs);
+				isRolledBack = outcome?.kind === 'completed' && outcome.state === 'idle';
+			} finally {
+				// A connection that may be inside a transaction is closed.
+				dispatcher.release(placement, isRolledBack);
+			}
 		},
 	};
 }
--- a/packages/gateway/src/sessions/statement-runner.ts
+++ b/packages/gateway/src/sessions/statement-runner.ts
@@ -71,14 +71,18 @@
 
 		const pendingRequest = pool.tracker.addPendingRequest('statement', sentAt);
 		connection.isRunning = true;
-		const [outcome] = await connection.instanceConnection.run([this.#resolvePreparedName(placement, outgoing, prepared)], Math.max(1, deadline - sentAt));
-		connection.isRunning = false;
-		pool.tracker.removePendingRequest(pendingRequest);
-		if (canCommit) {
-			// The write ends only after the continuation that passes on its outcome has run.
-			setImmediate(() => {
-				terms.endWrite(operation.route.group);
-			});
+		let outcome: StatementOutcome | undefined;
+		try {
+			[outcome] = await connection.instanceConnection.run([this.#resolvePreparedName(placement, outgoing, prepared)], Math.max(1, deadline - sentAt));
+		} finally {
+			connection.isRunning = false;
+			pool.tracker.removePendingRequest(pendingRequest);
+			if (canCommit) {
+				// The write ends only after the continuation that passes on its outcome has run.
+				setImmediate(() => {
+					terms.endWrite(operation.route.group);
+				});
+			}
 		}
 
 		const now = clock.now();
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -5,7 +5,7 @@
 import {type SessionDependencies} from './session-dependencies.js';
 import {createLostAnswerRefusal, type OperationOutcome} from './autocommit-runner.js';
 import {
-	acquirePlace, isGatewayFailure, isInstanceFailure, type StatementPlace,
+	acquirePlace, isGatewayFailure, isInstanceFailure, runOrRelease, type StatementPlace,
 } from './statement-place.js';
 import {isWriteStatement, type StatementRunner} from './statement-runner.js';
 
@@ -61,10 +61,15 @@
 			this.#hasWritten ||= isWriteStatement(request.statement, prepared);
 			const result = await this.#runWithRetries(place, request, prepared, deadline);
 			return request.statement.kind === 'commit' ? await this.#createCommitAnswer(place, result) : this.#createAnswer(result);
+		} catch (error) {
+			// What the instance has run is unknown, so the connection is closed, and nothing of the transaction runs again.
+			this.#isEnded = true;
+			this.#release(false);
+			throw error;
 		} finally {
 			this.#isRunning = false;
 			if (this.#isEnded) {
-				void this.#rollBackAtInstance();
+				this.#startRollBack();
 			}
 		}
 	}
@@ -75,7 +80,9 @@
 		const {group, statementTimeoutMs} = this.operation.route;
 		if (transactionReservation.canReserve(dispatcher.countWaiting(group))) {
 			const startedAt = this.dependencies.clock.now();
-			this.#reservation = this.#reserve(startedAt, startedAt + statementTimeoutMs);
+			const reservation = this.#reserve(startedAt, startedAt + statementTimeoutMs);
+			this.#reservation = reservation;
+			this.dependencies.tasks.run('reservation', async () => reservation);
 		}
 	}
 
@@ -84,7 +91,7 @@
 		this.#isEnded = true;
 		clearTimeout(this.#reservationTimer);
 		if (!this.#isRunning) {
-			void this.#rollBackAtInstance();
+			this.#startRollBack();
 		}
 	}
 
@@ -93,7 +100,7 @@
 			// The first statement tries again by itself after a refusal, and is answered with its own.
 			await this.#pin(startedAt, deadline, true);
 		} catch (error) {
-			this.dependencies.log.logEvent('session.error', {connection: undefined, request: this.operation.id, error: error instanceof Error ? error.stack ?? error.message : String(error)});
+			this.dependencies.tasks.recordFailure('reservation', error);
 		} finally {
 			this.#reservation = undefined;
 		}
@@ -103,7 +110,7 @@
 		} else if (!this.#hasStatement) {
 			this.#reservationTimer = setTimeout(() => {
 				this.dependencies.metrics.addCount('reservation_unused');
-				void this.#rollBackAtInstance();
+				this.#startRollBack();
 			}, this.dependencies.transactionReservation.getHoldMs());
 		}
 	}
@@ -166,7 +173,7 @@
 			}
 
 			const begin = {statement: {kind: 'control-begin' as const, access: this.access}, ...(!place.isPrimary && requiredPosition !== undefined && {since: requiredPosition})};
-			const result = await place.run(this.operation, begin, undefined, deadline);
+			const result = await runOrRelease(place, this.operation, begin, undefined, deadline);
 			if (result.kind === 'completed' && result.state === 'in-transaction') {
 				this.#place = place;
 				this.dependencies.log.logEvent('transaction.pinned', {
@@ -246,6 +253,10 @@
 		return {outcome: {kind: 'refused', refusal}, isOpen: false};
 	}
 
+	#startRollBack(): void {
+		this.dependencies.tasks.run('rollback', async () => this.#rollBackAtInstance());
+	}
+
 	async #rollBackAtInstance(): Promise<void> {
 		const place = this.#place;
 		this.#place = undefined;
--- /dev/null
+++ b/packages/gateway/src/tasks/contained-promotion-service.ts
@@ -0,0 +1,16 @@
+import {type PromotionService} from '../ports/index.js';
+import {type BackgroundTasks} from './background-tasks.js';
+
+/** Wraps a promotion service so that the result of a request that causes an error is unknown. */
+export function createContainedPromotionService(service: PromotionService, tasks: BackgroundTasks): PromotionService {
+	return {
+		async promote(request, timeoutMs) {
+			try {
+				return await service.promote(request, timeoutMs);
+			} catch (error) {
+				tasks.recordFailure('promotion request', error);
+				return 'unknown';
+			}
+		},
+	};
+}
--- a/packages/gateway/src/tests/configuration/configuration-watcher.test.ts
+++ b/packages/gateway/src/tests/configuration/configuration-watcher.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 import {ConfigurationView, ConfigurationWatcher} from '../../configuration/index.js';
-import {EventLog} from '../../observability/index.js';
+import {EventLog, GatewayMetrics} from '../../observability/index.js';
 import {type CoordinationStore} from '../../ports/index.js';
+import {BackgroundTasks} from '../../tasks/index.js';
 import {createConfiguration} from '../fakes/test-cluster.js';
 import {VirtualTime} from '../fakes/virtual-time.js';
 
@@ -9,7 +10,9 @@
 	const time = new VirtualTime();
 	const view = new ConfigurationView();
 	const log = new EventLog('vm1', {write: () => undefined, writableLength: 0});
-	const watcher = new ConfigurationWatcher({} as unknown as CoordinationStore, view, () => 0, log);
+	const watcher = new ConfigurationWatcher({} as unknown as CoordinationStore, view, {
+		random: () => 0, log, tasks: new BackgroundTasks(log, new GatewayMetrics(), time),
+	});
 	const apply = (version: number) => {
 		watcher.applyEncoded(JSON.stringify(createConfiguration(version)), 'test');
 	};
--- a/packages/gateway/src/tests/coordination/configuration-transfer.test.ts
+++ b/packages/gateway/src/tests/coordination/configuration-transfer.test.ts
@@ -11,6 +11,7 @@
 } from '../../coordination/index.js';
 import {EventLog, GatewayMetrics} from '../../observability/index.js';
 import {type CoordinationStore} from '../../ports/index.js';
+import {BackgroundTasks} from '../../tasks/index.js';
 import {createConfiguration} from '../fakes/test-cluster.js';
 
 const clock = {now: () => performance.now(), getWallTime: () => Date.now()};
@@ -44,13 +45,14 @@
 			this.stop();
 		});
 		const log = new EventLog('vm', {write: (text: string) => this.lines.push(text), writableLength: 0});
-		this.watcher = new ConfigurationWatcher({} as unknown as CoordinationStore, this.view, () => 0, log);
+		const tasks = new BackgroundTasks(log, this.metrics, clock);
+		this.watcher = new ConfigurationWatcher({} as unknown as CoordinationStore, this.view, {random: () => 0, log, tasks});
 		if (configuration !== undefined) {
 			this.watcher.applyEncoded(JSON.stringify(configuration), 'test');
 		}
 
 		this.client = new ConfigurationTransferClient({
-			configuration: this.view, configurationWatcher: this.watcher, network: this.#network, clock, log, metrics: this.metrics,
+			configuration: this.view, configurationWatcher: this.watcher, network: this.#network, clock, log, metrics: this.metrics, tasks,
 		}, () => {
 			this.failures += 1;
 		});
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -19,6 +19,9 @@
 } from '../ports/index.js';
 import {InstanceStatusReader, PositionSurveyor} from '../positions/index.js';
 import {type SessionDependencies, StatementRunner} from '../sessions/index.js';
+import {
+	BackgroundTasks, createContainedConnector, createContainedNetwork, createContainedPromotionService, createContainedStore,
+} from '../tasks/index.js';
 import {TermRegistry} from '../terms/index.js';
 
 /** External dependencies of a gateway. */
@@ -46,23 +49,26 @@
 
 /** Creates a gateway and all its parts; the composition root of the package. */
 export function createGateway(identity: GatewayIdentity, {
-	clock, store: platformStore, connector, promotion, network, getSettings, logOutput, isForwardingEnabled = true,
+	clock, store: platformStore, connector: platformConnector, promotion, network: platformNetwork, getSettings, logOutput, isForwardingEnabled = true,
 }: GatewayPorts): WiredGateway {
 	const log = new EventLog(identity.vm, logOutput);
 	const metrics = new GatewayMetrics();
-	const store = createInstrumentedStore(platformStore, metrics);
+	const tasks = new BackgroundTasks(log, metrics, clock);
+	const store = createInstrumentedStore(createContainedStore(platformStore, tasks), metrics);
+	const connector = createContainedConnector(platformConnector, tasks);
+	const network = createContainedNetwork(platformNetwork, tasks);
 	metrics.addGauge('store_era', () => store.era);
 	metrics.addGauge('store_restores', () => store.restoreCount);
 	const configuration = new ConfigurationView();
-	const configurationWatcher = new ConfigurationWatcher(store, configuration, Math.random, log);
+	const configurationWatcher = new ConfigurationWatcher(store, configuration, {random: Math.random, log, tasks});
 	const instances = new InstanceRegistry(log);
 	const groupSizes = new GroupSizes(instances, clock);
 	const instanceWatcher = new InstanceWatcher(store, instances, clock, Math.random, log);
 	const terms = new TermRegistry(clock, log, metrics);
 	const evacuations = new EvacuationRegistry(clock);
-	evacuations.onChanged(() => {
+	evacuations.onChanged(tasks.createCallback('evacuation', () => {
 		instances.setEvacuatedZones(evacuations.zones);
-	});
+	}));
 	configurationWatcher.onRead(({evacuations: rows, storeVersion}) => {
 		if (rows !== undefined) {
 			evacuations.applyRows(rows, storeVersion);
@@ -73,23 +79,25 @@
 	});
 	// Reads the state of the other parts whenever an evacuation changes.
 	new EvacuationMonitor({
-		evacuations, instances, guard, terms, clock, log, metrics,
+		evacuations, instances, guard, terms, clock, log, metrics, tasks,
 	}).start();
 	const directory = new GatewayDirectory({identity, configuration});
 	const forwardingClient = isForwardingEnabled
 		? new ForwardingClient({
-			vm: identity.vm, network, clock, metrics, log, directory, terms,
+			vm: identity.vm, network, clock, metrics, log, directory, terms, tasks,
 		})
 		: undefined;
 	const dispatcher = new Dispatcher({
-		configuration, instances, guard, terms, connector, clock, metrics, log, distance: new NetworkDistance(identity.zone, identity.regions, clock, metrics), random: Math.random, getSettings, router: forwardingClient,
+		configuration, instances, guard, terms, connector, clock, metrics, log, distance: new NetworkDistance(identity.zone, identity.regions, clock, metrics), random: Math.random, getSettings, router: forwardingClient, tasks,
 	});
 	const forwarding = forwardingClient && new Forwarding(directory, forwardingClient, new ForwardingServer({
 		directory, configuration, dispatcher, runner: new StatementRunner({
 			clock, dispatcher, metrics, terms,
-		}), instances, clock, metrics, log,
+		}), instances, clock, metrics, log, tasks,
 	}));
-	const limiter = new AccountLimiter(configuration, getSettings, clock, metrics, log);
+	const limiter = new AccountLimiter({
+		configuration, getSettings, clock, metrics, log, tasks,
+	});
 	const coordinatorLease = new CoordinatorLease(store, identity, clock, log);
 	const configurationAssigner = new ConfigurationAssigner({
 		vm: identity.vm, configuration, configurationWatcher, regions: identity.regions, clock,
@@ -102,22 +110,22 @@
 		coordinatorLease, coordinator, terms, store, log,
 	});
 	const successorPromoter = new SuccessorPromoter({
-		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, groupSizes, guard, statusReader, termWriter, promotionService: promotion, clock, log,
+		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, groupSizes, guard, statusReader, termWriter, promotionService: createContainedPromotionService(promotion, tasks), clock, log,
 	});
 	const promoter = new Promoter({
-		vm: identity.vm, coordinatorLease, coordinator, terms, instances, groupSizes, guard, configuration, dispatcher, store, statusReader, termWriter, successorPromoter, clock, log, metrics,
+		vm: identity.vm, coordinatorLease, coordinator, terms, instances, groupSizes, guard, configuration, dispatcher, store, statusReader, termWriter, successorPromoter, clock, log, metrics, tasks,
 	});
 	const registrar = new MemberRegistrar({
-		coordinatorLease, coordinator, store, clock, log,
+		coordinatorLease, coordinator, store, clock, log, tasks,
 	});
 	const storeRecovery = new StoreRecovery({
 		coordinatorLease, coordinator, terms, store, log, metrics,
 	});
 	const member = new ClusterMember({
-		identity, coordinatorLease, coordinator, promoter, registrar, storeRecovery, terms, configuration, configurationWatcher, instances, evacuations, guard, instanceWatcher, dispatcher, limiter, store, network, clock, log, metrics, random: Math.random, getSettings, forwarding,
+		identity, coordinatorLease, coordinator, promoter, registrar, storeRecovery, terms, configuration, configurationWatcher, instances, evacuations, guard, instanceWatcher, dispatcher, limiter, store, network, clock, log, metrics, random: Math.random, getSettings, forwarding, tasks,
 	});
 	const sessionDependencies: SessionDependencies = {
-		configuration, dispatcher, limiter, transactionReservation: new TransactionReservation(), terms, clock, log, metrics, forwarding, surveyor: new PositionSurveyor({
+		configuration, dispatcher, limiter, transactionReservation: new TransactionReservation(), terms, clock, log, metrics, tasks, forwarding, surveyor: new PositionSurveyor({
 			statusReader, terms, instances, groupSizes, clock, log, metrics,
 		}),
 	};
