Inputs: an entry with an impossible address or number names no instance, and no connection attempt throws

Callers saw sessions break on every VM, and operators saw each process end with `process.failed` (RangeError) and code 1 again after each restart, for as long as an entry of another writer stood in the registry of instances.

Cause: the address of an entry was any digits, dots, a colon and digits. `createConnection` throws for a port above 65535, so the connector's promise was rejected, which the dispatcher does not await. A link between VMs threw likewise, for an address from a row or a message. A decoder throws too, for a value that is nested so deeply that describing it overflows the stack.

Change: an address is an IP address or host name with a port of 1 to 65535; slots, start time and remaining cold time are numbers in range; service and id are words, since they are sent as words of a line. Decoding never throws. A connection to an impossible address closes with an error, as a refused one does.

--- a/packages/gateway/src/coordination/index.ts
+++ b/packages/gateway/src/coordination/index.ts
@@ -1,5 +1,7 @@
 export type * from './gateway-identity.js';
 export * from './peer-features.js';
+export * from './socket-address.js';
+export * from './socket-connection.js';
 export * from './tcp-peer-network.js';
 export * from './shared-rows.js';
 export * from './coordinator-lease.js';
--- a/packages/gateway/src/coordination/tcp-peer-network.ts
+++ b/packages/gateway/src/coordination/tcp-peer-network.ts
@@ -1,8 +1,10 @@
-import {createConnection, createServer, type Socket} from 'node:net';
+import {createServer, type Socket} from 'node:net';
 import {formatPeerMessage, parsePeerMessage, type PeerMessage} from '@chicorysaddle/protocol/coordination';
 import {
 	type PeerHandlers, type PeerLink, type PeerServer, type PeerNetwork,
 } from '../ports/index.js';
+import {parseSocketAddress} from './socket-address.js';
+import {connectSocket} from './socket-connection.js';
 
 /** Maximum length of a line between VMs, in characters; it fits a configuration with thousands of routes. */
 const maxLineLength = 16_777_216;
@@ -74,18 +76,6 @@
 	}
 }
 
-/** Host and port of a TCP listener. */
-export type SocketAddress = {
-	readonly host: string;
-	readonly port: number;
-};
-
-/** Parses `HOST:PORT`; the host is everything before the last colon. Neither part is validated. */
-export function parseSocketAddress(text: string): SocketAddress {
-	const colon = text.lastIndexOf(':');
-	return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))};
-}
-
 /** Server of a TCP network. */
 export type TcpPeerServer = PeerServer & {
 	/** Port that the server is bound to. */
@@ -98,7 +88,7 @@
 	constructor(private readonly reportError: PeerErrorReporter) {}
 
 	connect(address: string, handlers: PeerHandlers): PeerLink {
-		return new LinePeerLink(createConnection(parseSocketAddress(address)), () => handlers, this.reportError);
+		return new LinePeerLink(connectSocket(address), () => handlers, this.reportError);
 	}
 
 	async listen(address: string, accept: (link: PeerLink) => PeerHandlers): Promise<TcpPeerServer> {
--- a/packages/gateway/src/tests/coordination/tcp-peer-network.test.ts
+++ b/packages/gateway/src/tests/coordination/tcp-peer-network.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import {formatPeerMessage} from '@chicorysaddle/protocol/coordination';
 import {TcpPeerNetwork} from '../../coordination/index.js';
+import {type PeerLink} from '../../ports/index.js';
 
 const address = '127.0.0.1:0';
 const validLine = formatPeerMessage({kind: 'acceptance', vm: 'vm1', address});
@@ -62,3 +63,24 @@
 	t.deepEqual(received, []);
 	server.close();
 });
+
+// Guards against an address, learned from a row or a message, that makes the VM throw while it connects.
+test('a link to an impossible address closes like a refused one, without a throw', async t => {
+	const network = new TcpPeerNetwork(() => undefined);
+	for (const impossible of ['127.0.0.1:99999', '127.0.0.1:-1', 'nowhere', '', ':', 'a\u0000b:80', '127.0.0.1:NaN']) {
+		let isClosed = false;
+		let link: PeerLink | undefined;
+		await new Promise<void>(resolve => {
+			link = network.connect(impossible, {
+				onMessage: () => undefined,
+				onClosed() {
+					// The caller has the link before its handlers are called.
+					isClosed = link !== undefined;
+					resolve();
+				},
+			});
+			link.send({kind: 'configuration-request'});
+		});
+		t.true(isClosed && link?.isOpen === false, impossible);
+	}
+});
--- /dev/null
+++ b/packages/model/src/values/value-codecs.ts
@@ -0,0 +1,31 @@
+import {
+	Codec, type Either, Left, number, Right, string,
+} from 'purify-ts';
+
+function createNumberCodec(expected: string, isValid: (value: number) => boolean): Codec<number> {
+	return Codec.custom<number>({
+		decode: value => number.decode(value).chain((decoded): Either<string, number> => isValid(decoded) ? Right(decoded) : Left(`Expected ${expected}, but received a number with value ${decoded}`)),
+		encode: value => value,
+	});
+}
+
+/** Codec of a whole number from zero that is represented exactly. */
+export const countCodec = createNumberCodec('a whole number from zero', value => Number.isSafeInteger(value) && value >= 0);
+
+/** Codec of a whole number from one that is represented exactly. */
+export const positiveCountCodec = createNumberCodec('a whole number from one', value => Number.isSafeInteger(value) && value >= 1);
+
+/** Codec of a finite number from zero, up to the largest whole number that is represented exactly. */
+export const quantityCodec = createNumberCodec('a finite number from zero', value => value >= 0 && value <= Number.MAX_SAFE_INTEGER);
+
+/** Codec of a text that is not empty. */
+export const nameCodec = Codec.custom<string>({
+	decode: value => string.decode(value).chain(text => text === '' ? Left('Expected a string that is not empty') : Right(text)),
+	encode: text => text,
+});
+
+/** Codec of a name that is sent as one word of a line: not empty, without spaces and control characters. */
+export const wordCodec = Codec.custom<string>({
+	decode: value => string.decode(value).chain(text => /^[^\s\p{Cc}]+$/v.test(text) ? Right(text) : Left(`Expected one word, but received ${JSON.stringify(text.slice(0, 100))}`)),
+	encode: text => text,
+});
