Metrics: memory as gauges and events, and a warning before the heap is full

What operators saw: a process that ends for lack of memory writes no line.

Change: gauges of the heap used, its limit, memory outside of the heap and resident size; `memory.used` every 30 s, `memory.high` once the heap passes 80 % of its limit and `memory.normal` below 65 %.

--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -12,7 +12,7 @@
 import {Gateway} from '../lifecycle/index.js';
 import {AccountLimiter} from '../limits/index.js';
 import {
-	createInstrumentedStore, EventLog, GatewayMetrics, type LogOutput,
+	createInstrumentedStore, EventLog, GatewayMetrics, type LogOutput, MemoryMonitor,
 } from '../observability/index.js';
 import {
 	type AdjustableSettingsSource, type Clock, type CoordinationStore, type InstanceConnector, type PeerNetwork, type PromotionService,
@@ -54,6 +54,7 @@
 	const log = new EventLog(identity.vm, logOutput);
 	const metrics = new GatewayMetrics();
 	const tasks = new BackgroundTasks(log, metrics, clock);
+	new MemoryMonitor(log, metrics).start();
 	const store = createInstrumentedStore(createContainedStore(platformStore, tasks), metrics);
 	const connector = createContainedConnector(platformConnector, tasks);
 	const network = createContainedNetwork(platformNetwork, tasks);
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -2,6 +2,10 @@
 
 const termFields = {group: 'string', term: 'number', primary: 'string'} as const;
 
+const memoryFields = {
+	heapMb: 'number', limitMb: 'number', externalMb: 'number', residentMb: 'number',
+} as const;
+
 /** Every event that a gateway logs, with its fields; the table in `docs/OPERATIONS.md` is generated from it. */
 export const eventCatalogue = {
 	'process.started': {
@@ -19,6 +23,15 @@
 	'metrics.unavailable': {
 		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'metrics cannot be served; callers are served nevertheless', fields: {address: 'string', reason: 'string'},
 	},
+	'memory.used': {
+		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'every 30 s: memory of the process', fields: memoryFields,
+	},
+	'memory.high': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'the heap passed 80 % of the limit at which the process ends for lack of memory', fields: memoryFields,
+	},
+	'memory.normal': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'the heap is below 65 % of its limit again', fields: memoryFields,
+	},
 	'shutdown.begun': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'SIGTERM', fields: {sessions: 'number', graceMs: 'number'},
 	},
