--- a/xo.config.js
+++ b/xo.config.js
@@ -8,7 +8,7 @@
 			'n/no-extraneous-import': 'off', 'ava/no-ignored-test-files': 'off', 'ava/assertion-arguments': 'off', 'unicorn/no-await-expression-member': 'off',
 		},
 	},
-	{files: ['platform/build.js'], rules: {'import-x/no-extraneous-dependencies': 'off', 'n/no-extraneous-import': 'off'}},
+	{files: ['platform/build.js', 'platform/build/*.js'], rules: {'import-x/no-extraneous-dependencies': 'off', 'n/no-extraneous-import': 'off', 'no-await-in-loop': 'off'}},
 	{files: ['**/main.ts'], rules: {'unicorn/no-process-exit': 'off'}},
 	{ignores: ['**/dist/**', 'target/**', 'journal/**', 'packages/protocol/src/generated/**']},
 	{
