Rows and configurations: one that cannot be used is left out, and reading it never throws

Operators saw `process.failed` with a RangeError on every VM that read a row, or received a configuration, that is nested deeply; a version, term or token of 1e300 was taken, after which no later one came into force; and `row.unreadable` was written with each read, as long as the value.

Cause: the decoder's error describes the whole value and overflows the stack; numbers had no range, and JSON has numbers that are infinite when read.

Evidence, with the former decoders: "rows with impossible values are left out", both tests of hostile configurations and "VMs go on, and change coordinator and primary" fail (RangeError in purify-ts, no service, no new coordinator); "no row makes the parsing throw" takes a term that is no whole number; a configuration with an infinite version is taken.

Addresses in the rows of the coordinator and of members stay unchecked: without the row no VM could take over, or would wait for the other one; a connection to them fails as a refused one. Each version of an unreadable row is logged once, and counted in `rows_unreadable`. Measured: these tests pass; rows as former builds write them are read.

--- a/packages/gateway/src/configuration/configuration-codec.ts
+++ b/packages/gateway/src/configuration/configuration-codec.ts
@@ -1,23 +1,26 @@
 import {setImmediate} from 'node:timers/promises';
 import {
-	array, boolean, Codec, Either, exactly, number, oneOf, optional, string,
+	countCodec, createListCodec, decodeValue, finiteNumberCodec, quantityCodec,
+} from '@chicorysaddle/model';
+import {
+	boolean, Codec, Either, exactly, oneOf, optional, string, unknown,
 } from 'purify-ts';
-import {type GatewayConfiguration} from './gateway-configuration.js';
+import {type DatabaseRoute, type GatewayConfiguration} from './gateway-configuration.js';
 
-const routesCodec = array(Codec.interface({
+const routesCodec = createListCodec(Codec.interface({
 	name: string, database: string, group: string, consistency: oneOf([exactly('primary'), exactly('bounded'), exactly('read-your-writes')]),
-	statementTimeoutMs: number, targetLatencyMs: number, priority: number, maxStalenessMs: number, allowsAnonymous: boolean,
+	statementTimeoutMs: quantityCodec, targetLatencyMs: quantityCodec, priority: finiteNumberCodec, maxStalenessMs: quantityCodec, allowsAnonymous: boolean,
 }));
 
 const configurationCodec = Codec.interface({
-	version: number,
+	version: countCodec,
 	routes: routesCodec,
-	groups: array(Codec.interface({name: string, maxConnections: number, coldPerS: optional(number)})),
-	accounts: array(Codec.interface({
-		name: string, keyDigests: array(string), priority: number, ratePerS: number, burst: number,
+	groups: createListCodec(Codec.interface({name: string, maxConnections: quantityCodec, coldPerS: optional(quantityCodec)})),
+	accounts: createListCodec(Codec.interface({
+		name: string, keyDigests: createListCodec(string), priority: finiteNumberCodec, ratePerS: quantityCodec, burst: quantityCodec,
 	})),
-	transactionIdleMs: number,
-	maxStatementBytes: number,
+	transactionIdleMs: quantityCodec,
+	maxStatementBytes: quantityCodec,
 });
 
 /** Serializes a configuration for another VM; it contains key digests, never keys. */
@@ -42,7 +45,7 @@
  * @returns The configuration, or a description of the error.
  */
 export function parseConfiguration(text: string): Either<string, GatewayConfiguration> {
-	return configurationCodec.decode(parseJson(text));
+	return decodeValue(configurationCodec, parseJson(text));
 }
 
 /**
@@ -53,14 +56,19 @@
 	const value = parseJson(text) as Partial<GatewayConfiguration> | undefined;
 	const encodedRoutes: unknown = value?.routes;
 	if (!Array.isArray(encodedRoutes) || encodedRoutes.length <= routesPerStep) {
-		return configurationCodec.decode(value);
+		return decodeValue(configurationCodec, value);
+	}
+
+	const bounded = decodeValue(createListCodec(unknown), encodedRoutes);
+	if (bounded.isLeft()) {
+		return bounded;
 	}
 
-	const steps: Array<ReturnType<typeof routesCodec.decode>> = [];
+	const steps: Array<Either<string, DatabaseRoute[]>> = [];
 	for (let start = 0; start < encodedRoutes.length; start += routesPerStep) {
-		steps.push(routesCodec.decode(encodedRoutes.slice(start, start + routesPerStep)));
+		steps.push(decodeValue(routesCodec, encodedRoutes.slice(start, start + routesPerStep)));
 		await setImmediate();
 	}
 
-	return configurationCodec.decode({...value, routes: []}).chain(configuration => Either.sequence(steps).map(routes => ({...configuration, routes: routes.flat()})));
+	return decodeValue(configurationCodec, {...value, routes: []}).chain(configuration => Either.sequence(steps).map(routes => ({...configuration, routes: routes.flat()})));
 }
--- a/packages/gateway/src/coordination/shared-rows.ts
+++ b/packages/gateway/src/coordination/shared-rows.ts
@@ -1,5 +1,6 @@
+import {countCodec, decodeValue, quantityCodec} from '@chicorysaddle/model';
 import {
-	Codec, exactly, type GetType, number, oneOf, optional, string,
+	Codec, exactly, type GetType, oneOf, optional, string,
 } from 'purify-ts';
 import {type PromotionRecord} from '@chicorysaddle/decisions';
 import {type EventLog} from '../observability/index.js';
@@ -12,29 +13,30 @@
 	holder: string,
 	/** Identifies the holder's process: a restarted VM counts as another holder. */
 	incarnation: string,
-	/** Peer address of the holder. */
+	/** Peer address of the holder. An impossible one is accepted: the holder is then not reached, and its lease ends as that of a silent one. */
 	address: string,
 	/** Fencing token, increased with each change of holder. */
-	token: number,
+	token: countCodec,
 	/** Era of the store in which the row was written; absent for era 0. */
-	era: optional(number),
+	era: optional(countCodec),
 });
 
+/** An impossible address is accepted, so that the coordinator still waits for the VM. */
 const memberCodec = Codec.interface({address: string, zone: string, incarnation: string});
 
 const promotionCodec = Codec.interface({
-	token: number,
+	token: countCodec,
 	formerPrimaryId: string,
-	order: optional(Codec.interface({instanceId: string, instanceTerm: number})),
+	order: optional(Codec.interface({instanceId: string, instanceTerm: countCodec})),
 });
 
 const termCodec = Codec.interface({
-	term: number,
+	term: countCodec,
 	primaryId: string,
 	phase: oneOf([exactly('open'), exactly('closing')]),
-	drainMs: number,
+	drainMs: quantityCodec,
 	/** Era of the store in which the row was written; absent for era 0. */
-	era: optional(number),
+	era: optional(countCodec),
 	/** Promotions ordered since the term closed; absent in rows of open terms and of former builds. */
 	promotion: optional(promotionCodec),
 });
@@ -75,6 +77,9 @@
 	return (row.era ?? 0) < getEra(row.version);
 }
 
+/** Maximum length of a key in the log, in characters. */
+const maxKeyLength = 200;
+
 /** Key of the row that names the coordinator. */
 export const coordinatorKey = 'coordinator';
 
@@ -121,13 +126,13 @@
 		if (row.key === coordinatorKey) {
 			const content = decodeRow(coordinatorCodec, row, value, log);
 			coordinator = content === undefined ? coordinator : {...content, version: row.version};
-		} else if (row.key.startsWith(memberKeyPrefix)) {
+		} else if (isNamed(row.key, memberKeyPrefix)) {
 			const vm = row.key.slice(memberKeyPrefix.length);
 			const content = decodeRow(memberCodec, row, value, log);
 			if (content !== undefined) {
 				members.set(vm, {...content, vm, version: row.version});
 			}
-		} else if (row.key.startsWith(termKeyPrefix)) {
+		} else if (isNamed(row.key, termKeyPrefix)) {
 			const group = row.key.slice(termKeyPrefix.length);
 			const content = decodeRow(termCodec, row, value, log);
 			if (content !== undefined) {
@@ -148,9 +153,14 @@
 	};
 }
 
+/** Returns whether a key is a prefix and a name. */
+function isNamed(key: string, prefix: string): boolean {
+	return key.startsWith(prefix) && key.length > prefix.length;
+}
+
 function decodeRow<T>(codec: Codec<T>, row: SharedRow, value: unknown, log: EventLog): T | undefined {
-	return codec.decode(value).ifLeft(reason => {
-		log.logEvent('row.unreadable', {key: row.key, reason});
+	return decodeValue(codec, value).ifLeft(reason => {
+		log.logEventOnce('row.unreadable', `${row.key} ${row.version}`, {key: row.key.slice(0, maxKeyLength), reason});
 	}).toMaybe().extract();
 }
 
--- a/packages/gateway/src/observability/event-log.ts
+++ b/packages/gateway/src/observability/event-log.ts
@@ -20,12 +20,18 @@
 /** Window over which lines are counted for the rate limits, in milliseconds. */
 const rateWindowMs = 1000;
 
+/** Maximum number of events that are remembered as logged; the oldest are forgotten, and logged again. */
+const maxRememberedEvents = 1000;
+
 /** Writes events as JSON lines, with bounded rate and memory; a line that cannot be written is dropped and counted. */
 export class EventLog {
 	readonly #roarr;
 	#windowEndsAt = 0;
 	readonly #writtenLines: Record<EventImportance, number> = {state: 0, refusal: 0, success: 0};
 	#omittedLines = 0;
+	/** Identities of events that were logged, the oldest first. */
+	readonly #loggedIdentities = new Set<string>();
+	readonly #counts = new Map<EventName, number>();
 
 	/** @param vm - Name of this VM, included in every line. */
 	constructor(vm: string, private readonly output: LogOutput = process.stdout) {
@@ -40,6 +46,7 @@
 	 * @param fields - Event fields as defined in the catalogue.
 	 */
 	logEvent<Name extends EventName>(name: Name, fields: EventFieldsByName<Name>): void {
+		this.#counts.set(name, this.countEvents(name) + 1);
 		try {
 			this.#writeEvent(name, fields);
 		} catch {
@@ -64,6 +71,30 @@
 		this.#roarr.info({...(fields as Record<string, string | number | boolean | undefined | Record<string, number>>)}, name);
 	}
 
+	/**
+	 * Logs an event unless it has been logged.
+	 * @param identity - Identifies the event among those of its name.
+	 */
+	logEventOnce<Name extends EventName>(name: Name, identity: string, fields: EventFieldsByName<Name>): void {
+		const eventIdentity = `${name} ${identity}`;
+		if (this.#loggedIdentities.has(eventIdentity)) {
+			return;
+		}
+
+		const [oldest] = this.#loggedIdentities;
+		if (oldest !== undefined && this.#loggedIdentities.size >= maxRememberedEvents) {
+			this.#loggedIdentities.delete(oldest);
+		}
+
+		this.#loggedIdentities.add(eventIdentity);
+		this.logEvent(name, fields);
+	}
+
+	/** Returns the number of events of a name, with those whose lines were dropped. */
+	countEvents(name: EventName): number {
+		return this.#counts.get(name) ?? 0;
+	}
+
 	#startWindow(now: number): void {
 		this.#windowEndsAt = now + rateWindowMs;
 		this.#writtenLines.state = 0;
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -60,6 +60,7 @@
 	const network = createContainedNetwork(platformNetwork, tasks);
 	metrics.addGauge('store_era', () => store.era);
 	metrics.addGauge('store_restores', () => store.restoreCount);
+	metrics.addGauge('rows_unreadable', () => log.countEvents('row.unreadable'));
 	const configuration = new ConfigurationView();
 	const configurationWatcher = new ConfigurationWatcher(store, configuration, {random: Math.random, log, tasks});
 	const instances = new InstanceRegistry(log);
--- a/packages/model/src/values/value-codecs.ts
+++ b/packages/model/src/values/value-codecs.ts
@@ -1,5 +1,5 @@
 import {
-	Codec, type Either, Left, number, Right, string,
+	array, Codec, type Either, Left, number, Right, string,
 } from 'purify-ts';
 
 function createNumberCodec(expected: string, isValid: (value: number) => boolean): Codec<number> {
@@ -9,6 +9,9 @@
 	});
 }
 
+/** Codec of a finite number. */
+export const finiteNumberCodec = createNumberCodec('a finite number', value => Number.isFinite(value));
+
 /** Codec of a whole number from zero that is represented exactly. */
 export const countCodec = createNumberCodec('a whole number from zero', value => Number.isSafeInteger(value) && value >= 0);
 
@@ -29,3 +32,15 @@
 	decode: value => string.decode(value).chain(text => /^[^\s\p{Cc}]+$/v.test(text) ? Right(text) : Left(`Expected one word, but received ${JSON.stringify(text.slice(0, 100))}`)),
 	encode: text => text,
 });
+
+/** Maximum number of elements of a list from outside; a function call takes as many arguments. */
+const maxListLength = 65_536;
+
+/** Creates the codec of a list that is not too long to be handled. */
+export function createListCodec<T>(elementCodec: Codec<T>): Codec<T[]> {
+	const listCodec = array(elementCodec);
+	return Codec.custom<T[]>({
+		decode: value => Array.isArray(value) && value.length > maxListLength ? Left(`Expected at most ${maxListLength} elements, but received ${value.length}`) : listCodec.decode(value),
+		encode: listCodec.encode,
+	});
+}
