--- a/packages/model/src/errors/refusal.ts
+++ b/packages/model/src/errors/refusal.ts
@@ -50,6 +50,7 @@
 	statementTimeout: (timeoutMs: number) => new Refusal('statement-timeout', `no answer within ${timeoutMs} ms`),
 	preparedNotFound: (name: string) => new Refusal('prepared-not-found', `no prepared statement "${name}"`),
 	shuttingDown: (retryAfterMs: number) => new Refusal('overloaded', 'this VM is shutting down', retryAfterMs),
+	memoryFull: (retryAfterMs: number) => new Refusal('overloaded', 'this VM has no memory for more input', retryAfterMs),
 	conflict: (message: string) => new Refusal('conflict', message),
 	storeUnavailable: (reason: string) => new Refusal('store-unavailable', `the platform's store did not answer: ${reason}`),
 	internal: (reason: string) => new Refusal('internal', reason),
