Listeners: errors of a server that listens are recorded, and a peer address can be bound before the VM listens

What operators would have seen: a process that ends by an error of accept (EMFILE, ENOBUFS) at a listener; the handler of errors was removed once the server listened, or used up by the first one. Evidence: without the handler the new test fails, as the error of the server is thrown ("accept EMFILE"); nothing shows that the users met this. Change: one function listens for all servers and reports later errors; they are counted in `listener_errors` and logged at most once a second for each listener. A bind is tried again while the address is in use or not assigned, with a line for the wait and one for its end. The network between VMs binds an address before the VM listens, and closes connections until then; callers before that are refused as not run.

--- a/packages/gateway/src/coordination/tcp-peer-network.ts
+++ b/packages/gateway/src/coordination/tcp-peer-network.ts
@@ -1,8 +1,9 @@
-import {createServer, type Socket} from 'node:net';
+import {createServer, type Server, type Socket} from 'node:net';
 import {formatPeerMessage, parsePeerMessage, type PeerMessage} from '@chicorysaddle/protocol/coordination';
 import {
 	type PeerHandlers, type PeerLink, type PeerServer, type PeerNetwork,
 } from '../ports/index.js';
+import {listenOnServer} from '../process/listen-on-server.js';
 import {parseSocketAddress} from './socket-address.js';
 import {connectSocket} from './socket-connection.js';
 
@@ -82,34 +83,78 @@
 	readonly port: number;
 };
 
+/** Accepts a link and returns its handlers. */
+type PeerAcceptor = (link: PeerLink) => PeerHandlers;
+
+/** Server that closes connections until it has an acceptor. */
+class LinePeerServer implements TcpPeerServer {
+	/** Undefined until the VM listens: no message is taken in before. */
+	accept: PeerAcceptor | undefined;
+	readonly #server: Server;
+
+	constructor(private readonly reportError: PeerErrorReporter) {
+		this.#server = createServer(socket => {
+			this.#handleSocket(socket);
+		});
+	}
+
+	get port(): number {
+		const bound = this.#server.address();
+		return typeof bound === 'object' && bound !== null ? bound.port : 0;
+	}
+
+	async bind(address: string, reportServerError: PeerErrorReporter): Promise<void> {
+		await listenOnServer(this.#server, parseSocketAddress(address), reportServerError);
+	}
+
+	close(): void {
+		this.#server.close();
+	}
+
+	#handleSocket(socket: Socket): void {
+		if (this.accept === undefined) {
+			socket.destroy();
+			return;
+		}
+
+		const link: PeerLink = new LinePeerLink(socket, () => handlers, this.reportError);
+		const handlers = this.accept(link);
+	}
+}
+
 /** Connects VMs over TCP. */
 export class TcpPeerNetwork implements PeerNetwork {
-	/** @param reportError - Called with an error that closed a link; other links go on. */
-	constructor(private readonly reportError: PeerErrorReporter) {}
+	/** Servers that are bound and have no acceptor yet, by address. */
+	readonly #boundServers = new Map<string, LinePeerServer>();
+
+	/**
+	 * @param reportError - Called with an error that closed a link; other links go on.
+	 * @param reportServerError - Called with an error of a listening server; the server goes on.
+	 */
+	constructor(private readonly reportError: PeerErrorReporter, private readonly reportServerError: PeerErrorReporter = reportError) {}
 
 	connect(address: string, handlers: PeerHandlers): PeerLink {
 		return new LinePeerLink(connectSocket(address), () => handlers, this.reportError);
 	}
 
-	async listen(address: string, accept: (link: PeerLink) => PeerHandlers): Promise<TcpPeerServer> {
-		const server = createServer(socket => {
-			const link: PeerLink = new LinePeerLink(socket, () => handlers, this.reportError);
-			const handlers = accept(link);
-		});
-		const {host, port} = parseSocketAddress(address);
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(port, host, () => {
-				server.removeListener('error', reject);
-				resolve();
-			});
-		});
-		const bound = server.address();
-		return {
-			port: typeof bound === 'object' && bound !== null ? bound.port : port,
-			close() {
-				server.close();
-			},
-		};
+	/**
+	 * Binds an address for a later call of `listen`; until then connections to it are closed.
+	 * @throws When the address cannot be bound.
+	 */
+	async bind(address: string): Promise<void> {
+		const server = new LinePeerServer(this.reportError);
+		await server.bind(address, this.reportServerError);
+		this.#boundServers.set(address, server);
+	}
+
+	async listen(address: string, accept: PeerAcceptor): Promise<TcpPeerServer> {
+		if (!this.#boundServers.has(address)) {
+			await this.bind(address);
+		}
+
+		const server = this.#boundServers.get(address)!;
+		this.#boundServers.delete(address);
+		server.accept = accept;
+		return server;
 	}
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,5 +6,6 @@
 export * from './observability/index.js';
 export * from './sessions/index.js';
 export * from './lifecycle/index.js';
+export * from './process/index.js';
 export * from './coordination/index.js';
 export * from './wiring/index.js';
--- a/packages/gateway/src/lifecycle/index.ts
+++ b/packages/gateway/src/lifecycle/index.ts
@@ -1,1 +1,2 @@
 export * from './gateway.js';
+export * from './session-entrance.js';
--- /dev/null
+++ b/packages/gateway/src/process/index.ts
@@ -0,0 +1,4 @@
+export * from './bind-address.js';
+export * from './format-error.js';
+export * from './listen-on-server.js';
+export * from './listener-error-recorder.js';
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -20,6 +20,15 @@
 	'task.failed': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an error in an operation that nothing awaits; the process goes on, and a task that repeats is run again', fields: {task: 'string', error: 'string'},
 	},
+	'listener.waiting': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an address (`callers`, `probe`, `peers` or `metrics`) is in use or not assigned; the process waits until it can be bound', fields: {listener: 'string', address: 'string', reason: 'string'},
+	},
+	'listener.bound': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an address that the process waited for is bound', fields: {listener: 'string', address: 'string', waitedMs: 'number'},
+	},
+	'listener.failed': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'a listening server reported errors, as many as `count` since the last line; it goes on', fields: {listener: 'string', count: 'number', error: 'string'},
+	},
 	'metrics.unavailable': {
 		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'metrics cannot be served; callers are served nevertheless', fields: {address: 'string', reason: 'string'},
 	},
