Process: what passes by itself at the start, around signals or in a task does not end it

What trials with real processes show: exit code 1 again and again while another process, such as the former one of the VM in its grace period, holds the address of callers, probe or other VMs or while it is not assigned; metrics that are never served; an end by SIGHUP or SIGTERM before their handlers; exit code 1 on a settings file that is missing, empty or cut off, without a log line; an end at once on any error that nothing handled. Cause: each of these conditions was fatal, and signals had no handler until the settings were read. It is not shown that one of them is what the users met. Change: a supervisor takes the process through loading-settings, binding, serving and stopping, and writes process.ended with phase, exit code and reason, also before the settings are known. Signals are kept from the first module on. Settings that cannot be read are read again for 30 s, at the start and after SIGHUP. Addresses are bound in one order, and the gateway is created when the last one is bound, so that nothing acts for the VM before; callers are refused as not run until then, and the probe answers 503. An unhandled rejection is logged; an uncaught exception begins a shutdown in order and then exit code 1. Neither a closed output nor an error in a shutdown ends it early.

--- a/packages/gateway/src/observability/event-log.ts
+++ b/packages/gateway/src/observability/event-log.ts
@@ -33,11 +33,16 @@
 	readonly #loggedIdentities = new Set<string>();
 	readonly #counts = new Map<EventName, number>();
 
-	/** @param vm - Name of this VM, included in every line. */
-	constructor(vm: string, private readonly output: LogOutput = process.stdout) {
-		this.#roarr = Roarr.child({vm});
+	/** @param vm - Name of this VM, included in every line; undefined while it is not known. */
+	constructor(vm: string | undefined, private readonly output: LogOutput = process.stdout) {
+		this.#roarr = Roarr.child(vm === undefined ? {} : {vm});
 		ROARR.write = message => {
-			this.output.write(`${message}\n`);
+			try {
+				this.output.write(`${message}\n`);
+			} catch {
+				// Nothing reads the log any more; what it reports goes on.
+				this.#omittedLines += 1;
+			}
 		};
 	}
 
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -34,6 +34,9 @@
 	readonly getSettings: AdjustableSettingsSource;
 	/** Destination of log lines; defaults to standard output. */
 	readonly logOutput?: LogOutput;
+	/** Log and metrics of the process, if it had them before the gateway; created if absent. */
+	readonly log?: EventLog;
+	readonly metrics?: GatewayMetrics;
 	/** Whether operations are forwarded to the gateways of instances whose connections are scarce; defaults to true. */
 	readonly isForwardingEnabled?: boolean;
 };
@@ -49,10 +52,8 @@
 
 /** Creates a gateway and all its parts; the composition root of the package. */
 export function createGateway(identity: GatewayIdentity, {
-	clock, store: platformStore, connector: platformConnector, promotion, network: platformNetwork, getSettings, logOutput, isForwardingEnabled = true,
+	clock, store: platformStore, connector: platformConnector, promotion, network: platformNetwork, getSettings, logOutput, log = new EventLog(identity.vm, logOutput), metrics = new GatewayMetrics(), isForwardingEnabled = true,
 }: GatewayPorts): WiredGateway {
-	const log = new EventLog(identity.vm, logOutput);
-	const metrics = new GatewayMetrics();
 	const tasks = new BackgroundTasks(log, metrics, clock);
 	new MemoryMonitor(log, metrics).start();
 	const store = createInstrumentedStore(createContainedStore(platformStore, tasks), metrics);
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -9,17 +9,26 @@
 /** Every event that a gateway logs, with its fields; the table in `docs/OPERATIONS.md` is generated from it. */
 export const eventCatalogue = {
 	'process.started': {
-		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'the process started', fields: {zone: 'string', callers: 'string', store: 'string'},
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'the process started and has read its settings',
+		fields: {
+			zone: 'string', callers: 'string', store: 'string', node: 'string', arch: 'string', pid: 'number',
+		},
 	},
 	'process.reload': {
-		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'SIGHUP: the settings that were applied, and those that need a restart', fields: {applied: 'string', needsRestart: 'string', reason: 'string?'},
+		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'SIGHUP: the settings that were applied, and those that need a restart; while the file cannot be read the former ones stay in force, and it is read again for 30 s', fields: {applied: 'string', needsRestart: 'string', reason: 'string?'},
 	},
 	'process.failed': {
-		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an error ends the process', fields: {error: 'string'},
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an error that nothing handled: the process ends in order, with exit code 1', fields: {phase: 'string', error: 'string'},
 	},
 	'task.failed': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an error in an operation that nothing awaits; the process goes on, and a task that repeats is run again', fields: {task: 'string', error: 'string'},
 	},
+	'process.ended': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'the process ends, in the phase `loading-settings`, `binding`, `serving` or `stopping`; without a VM name if the settings were not read', fields: {phase: 'string', code: 'number', reason: 'string'},
+	},
+	'settings.unreadable': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'at the start the settings cannot be read, or for another reason than before; they are read again for 30 s', fields: {reason: 'string'},
+	},
 	'listener.waiting': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an address (`callers`, `probe`, `peers` or `metrics`) is in use or not assigned; the process waits until it can be bound', fields: {listener: 'string', address: 'string', reason: 'string'},
 	},
@@ -42,7 +51,7 @@
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'the heap is below 65 % of its limit again', fields: memoryFields,
 	},
 	'shutdown.begun': {
-		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'SIGTERM', fields: {sessions: 'number', graceMs: 'number'},
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'the process shuts down, after SIGTERM or an error', fields: {sessions: 'number', graceMs: 'number'},
 	},
 	'shutdown.ended': {
 		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'the shutdown ended; sessions that were still open, and its duration', fields: {sessions: 'number', durationMs: 'number'},
