Configuration: a test that a reading is read again after an error

A reading whose listener fails is read again, since a poll from its version would miss what was not applied, such as an evacuated zone or a withdrawn key.

--- a/packages/gateway/src/tests/configuration/configuration-watcher.test.ts
+++ b/packages/gateway/src/tests/configuration/configuration-watcher.test.ts
@@ -3,6 +3,7 @@
 import {EventLog, GatewayMetrics} from '../../observability/index.js';
 import {type CoordinationStore} from '../../ports/index.js';
 import {BackgroundTasks} from '../../tasks/index.js';
+import {FakeStore, FakeStoreClient} from '../fakes/fake-store.js';
 import {createConfiguration} from '../fakes/test-cluster.js';
 import {VirtualTime} from '../fakes/virtual-time.js';
 
@@ -45,3 +46,41 @@
 	t.is(view.version, 4);
 	time.stop();
 });
+
+// Guards against a change that is never applied because the next poll begins after it, and against a watch that an error ends.
+test.serial('a reading that a listener cannot handle is read again, and the configuration of it is in force meanwhile', async t => {
+	const time = new VirtualTime();
+	t.teardown(() => {
+		time.stop();
+	});
+	const log = new EventLog('vm1', {write: () => undefined, writableLength: 0});
+	const metrics = new GatewayMetrics();
+	const tasks = new BackgroundTasks(log, metrics, time);
+	const store = new FakeStore();
+	const view = new ConfigurationView();
+	const watcher = new ConfigurationWatcher(new FakeStoreClient('vm1', store), view, {random: () => 0, log, tasks});
+	const handled: boolean[] = [];
+	let isFailing = false;
+	watcher.onRead(({evacuations}) => {
+		if (isFailing) {
+			throw new Error('planned');
+		}
+
+		handled.push(evacuations?.evacuated.includes('a') === true);
+	});
+	store.setConfiguration(createConfiguration(1));
+	tasks.runLoop('configuration watch', async () => watcher.run(), () => watcher.isStopped);
+	await time.advance(100);
+	t.is(view.version, 1);
+	isFailing = true;
+	store.setConfiguration(createConfiguration(2));
+	store.setEvacuated('a', true);
+	await time.advance(100);
+	t.is(view.version, 2);
+	t.false(handled.includes(true));
+	isFailing = false;
+	await time.advance(1500);
+	t.true(handled.includes(true));
+	t.true(metrics.getCount('task_failed') > 0);
+	watcher.stop();
+});
