Links between VMs: what all of them buffer of unfinished lines is bounded, and long lines are read in linear time

Operators saw a VM of a heap of 160 MB grow to 220 MB while forty links had each begun a line of 15 MB (a trial): each link may buffer 16 MiB, and the number of links has no bound.

Cause: the bound was one of each link. Besides, each piece of a line was searched for its end from the beginning of the line.

Evidence, on the code before: "links that begin long lines are closed once all together buffer too much" fails, since no link is closed.

Change: all links together buffer two of the longest lines; over that, the link that buffers the most is closed and reported. Only new characters are searched.

--- a/packages/gateway/src/coordination/tcp-peer-network.ts
+++ b/packages/gateway/src/coordination/tcp-peer-network.ts
@@ -4,21 +4,26 @@
 	type PeerHandlers, type PeerLink, type PeerServer, type PeerNetwork,
 } from '../ports/index.js';
 import {listenOnServer} from '../process/listen-on-server.js';
+import {type LineBufferOwner, LineBuffers} from './line-buffers.js';
 import {parseSocketAddress} from './socket-address.js';
 import {connectSocket} from './socket-connection.js';
 
 /** Maximum length of a line between VMs, in characters; it fits a configuration with thousands of routes. */
 const maxLineLength = 16_777_216;
 
+/** Maximum length of unfinished lines on all links, in characters: two of the longest. */
+const maxBufferedLength = 2 * maxLineLength;
+
 /** Reports an error that closed the link to another VM. */
 export type PeerErrorReporter = (error: Error) => void;
 
 /** Connection between two VMs with one JSON message per line; closes itself when a line is too long, or its handler fails. */
-class LinePeerLink implements PeerLink {
+class LinePeerLink implements PeerLink, LineBufferOwner {
+	/** Beginning of a line that is not complete. */
 	#buffer = '';
 	#isOpen = true;
 
-	constructor(private readonly socket: Socket, private readonly getHandlers: () => PeerHandlers, private readonly reportError: PeerErrorReporter) {
+	constructor(private readonly socket: Socket, private readonly getHandlers: () => PeerHandlers, private readonly reportError: PeerErrorReporter, private readonly buffers: LineBuffers) {
 		socket.setNoDelay(true);
 		socket.setEncoding('utf8');
 		socket.on('data', (chunk: string) => {
@@ -28,7 +33,7 @@
 			// The close event follows.
 		});
 		socket.on('close', () => {
-			this.#isOpen = false;
+			this.#end();
 			this.getHandlers().onClosed();
 		});
 	}
@@ -44,21 +49,34 @@
 	}
 
 	close(): void {
-		this.#isOpen = false;
+		this.#end();
 		this.socket.destroy();
 	}
 
+	failBuffer(error: Error): void {
+		this.#fail(error);
+	}
+
 	#handleData(chunk: string): void {
-		this.#buffer += chunk;
-		if (this.#buffer.length > maxLineLength) {
-			this.#fail(new Error(`a line of more than ${maxLineLength} characters`));
-			return;
+		let start = 0;
+		for (let end = chunk.indexOf('\n'); this.#isOpen && end !== -1; end = chunk.indexOf('\n', start)) {
+			const line = this.#buffer + chunk.slice(start, end);
+			start = end + 1;
+			this.#setBuffer('');
+			this.#handleLine(line);
 		}
 
-		for (let end = this.#buffer.indexOf('\n'); this.#isOpen && end !== -1; end = this.#buffer.indexOf('\n')) {
-			const line = this.#buffer.slice(0, end);
-			this.#buffer = this.#buffer.slice(end + 1);
-			this.#handleLine(line);
+		if (this.#isOpen) {
+			this.#setBuffer(this.#buffer + chunk.slice(start));
+		}
+	}
+
+	#setBuffer(text: string): void {
+		this.#buffer = text;
+		if (text.length > maxLineLength) {
+			this.#fail(new Error(`a line of more than ${maxLineLength} characters`));
+		} else {
+			this.buffers.setLength(this, text.length);
 		}
 	}
 
@@ -70,9 +88,14 @@
 		}
 	}
 
+	#end(): void {
+		this.#isOpen = false;
+		this.#buffer = '';
+		this.buffers.setLength(this, 0);
+	}
+
 	#fail(error: Error): void {
 		this.reportError(error);
-		this.#buffer = '';
 		this.close();
 	}
 }
@@ -92,7 +115,7 @@
 	accept: PeerAcceptor | undefined;
 	readonly #server: Server;
 
-	constructor(private readonly reportError: PeerErrorReporter) {
+	constructor(private readonly reportError: PeerErrorReporter, private readonly buffers: LineBuffers) {
 		this.#server = createServer(socket => {
 			this.#handleSocket(socket);
 		});
@@ -117,13 +140,14 @@
 			return;
 		}
 
-		const link: PeerLink = new LinePeerLink(socket, () => handlers, this.reportError);
+		const link: PeerLink = new LinePeerLink(socket, () => handlers, this.reportError, this.buffers);
 		const handlers = this.accept(link);
 	}
 }
 
 /** Connects VMs over TCP. */
 export class TcpPeerNetwork implements PeerNetwork {
+	readonly #buffers = new LineBuffers(maxBufferedLength);
 	/** Servers that are bound and have no acceptor yet, by address. */
 	readonly #boundServers = new Map<string, LinePeerServer>();
 
@@ -134,7 +158,7 @@
 	constructor(private readonly reportError: PeerErrorReporter, private readonly reportServerError: PeerErrorReporter = reportError) {}
 
 	connect(address: string, handlers: PeerHandlers): PeerLink {
-		return new LinePeerLink(connectSocket(address), () => handlers, this.reportError);
+		return new LinePeerLink(connectSocket(address), () => handlers, this.reportError, this.#buffers);
 	}
 
 	/**
@@ -142,7 +166,7 @@
 	 * @throws When the address cannot be bound.
 	 */
 	async bind(address: string): Promise<void> {
-		const server = new LinePeerServer(this.reportError);
+		const server = new LinePeerServer(this.reportError, this.#buffers);
 		await server.bind(address, this.reportServerError);
 		this.#boundServers.set(address, server);
 	}
--- a/packages/gateway/src/tests/coordination/tcp-peer-network.test.ts
+++ b/packages/gateway/src/tests/coordination/tcp-peer-network.test.ts
@@ -1,4 +1,4 @@
-import {createConnection} from 'node:net';
+import {createConnection, type Socket} from 'node:net';
 import test from 'ava';
 import {formatPeerMessage} from '@chicorysaddle/protocol/coordination';
 import {TcpPeerNetwork} from '../../coordination/index.js';
@@ -84,3 +84,60 @@
 		t.true(isClosed && link?.isOpen === false, impossible);
 	}
 });
+
+// Guards against memory that grows with the number of links: each may have begun a line of 16 MiB.
+test('links that begin long lines are closed once all together buffer too much, and others go on', async t => {
+	const {received, errors, sendText, server} = await listen(() => undefined);
+	const sockets: Socket[] = [];
+	for (let index = 0; index < 6; index++) {
+		const socket = createConnection(server.port, '127.0.0.1');
+		socket.on('error', () => {
+			// The close event follows.
+		});
+		sockets.push(socket);
+		await new Promise<void>(resolve => {
+			socket.write('x'.repeat(12_000_000), () => {
+				resolve();
+			});
+		});
+	}
+
+	const deadline = Date.now() + 10_000;
+	while (errors.length < 4 && Date.now() < deadline) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+
+	t.is(errors.length, 4);
+	await sendText(validLine + validLine);
+	t.deepEqual(received, ['acceptance', 'acceptance']);
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	server.close();
+});
+
+// Guards against lines that are lost, or joined, where a piece of the stream ends.
+test('lines arrive whole, however the stream is split', async t => {
+	const {received, server} = await listen(() => undefined);
+	const socket = createConnection(server.port, '127.0.0.1');
+	socket.setNoDelay(true);
+	const text = validLine.repeat(4) + 'odd\n' + validLine;
+	for (let start = 0; start < text.length; start += 17) {
+		socket.write(text.slice(start, start + 17));
+		await new Promise(resolve => {
+			setTimeout(resolve, 1);
+		});
+	}
+
+	await new Promise<void>(resolve => {
+		socket.on('close', () => {
+			resolve();
+		}).end();
+		socket.resume();
+	});
+	t.deepEqual(received, ['acceptance', 'acceptance', 'acceptance', 'acceptance', 'invalid', 'acceptance']);
+	server.close();
+});
