Peer messages: impossible numbers make a message invalid

A VM that read a token, term or version of 1e300, or an infinite one, could never again see a later one: no new coordinator or primary came into force there. An instance that stated a log position of hundreds of digits made every heartbeat of its VM unreadable.

Cause: any number was taken, and JSON has numbers that are infinite when read.

Evidence, on the code before: "a message with an impossible number is invalid" fails at a token of 1e999.

Change: numbers are finite; tokens, terms and revisions are whole numbers that are exact. The parser's package now depends on the model's, which adds no other package.

--- a/packages/protocol/src/coordination/forwarding-messages.ts
+++ b/packages/protocol/src/coordination/forwarding-messages.ts
@@ -1,5 +1,6 @@
+import {finiteNumberCodec} from '@chicorysaddle/model';
 import {
-	array, boolean, Codec, exactly, type GetType, number, oneOf, optional, record, string,
+	array, boolean, Codec, exactly, type GetType, oneOf, optional, record, string,
 } from 'purify-ts';
 import {positionCodec} from './position-codec.js';
 
@@ -24,7 +25,7 @@
 export const forwardCodec = Codec.interface({
 	kind: exactly('forward'),
 	/** Identifies the statement on the link. */
-	id: number,
+	id: finiteNumberCodec,
 	group: string,
 	instance: string,
 	account: string,
@@ -36,24 +37,24 @@
 	/** Log position that a replica must have reached; absent on a primary. */
 	requiredPosition: optional(positionCodec),
 	/** Time since the session's own commit at that position was acknowledged, in milliseconds; absent if the position is not that of an own commit. */
-	commitAgeMs: optional(number),
+	commitAgeMs: optional(finiteNumberCodec),
 	/** Priority of the route; zero is the highest. */
-	priority: number,
+	priority: finiteNumberCodec,
 	/** Time for which the statement may wait for a connection, in milliseconds. */
-	waitMs: number,
+	waitMs: finiteNumberCodec,
 	/** Time until which the answer is awaited, in milliseconds. */
-	runMs: number,
+	runMs: finiteNumberCodec,
 	/** Session values, with the id of the session on the link and the version of the values; absent if there are none. */
-	session: optional(Codec.interface({id: number, version: number, values: record(string, string)})),
+	session: optional(Codec.interface({id: finiteNumberCodec, version: finiteNumberCodec, values: record(string, string)})),
 	/** Definition of the prepared statement that is executed. */
 	prepared: optional(Codec.interface({access: accessCodec, shape: string})),
 	/** Transaction to which the statement belongs; absent outside transactions. */
-	transaction: optional(number),
+	transaction: optional(finiteNumberCodec),
 	/** Whether the statement is refused if others wait for a connection; absent means false. */
 	isReservation: optional(boolean),
 });
 
-const refusalCodec = Codec.interface({kind: string, message: string, retryAfterMs: number});
+const refusalCodec = Codec.interface({kind: string, message: string, retryAfterMs: finiteNumberCodec});
 const stateCodec = oneOf([exactly('idle'), exactly('in-transaction'), exactly('failed-transaction')]);
 
 const outcomeCodec = oneOf([
@@ -75,20 +76,20 @@
 /** Codec of the outcome of a forwarded statement. */
 export const forwardAnswerCodec = Codec.interface({
 	kind: exactly('forward-answer'),
-	id: number,
+	id: finiteNumberCodec,
 	outcome: outcomeCodec,
 	/** Time from the arrival of the statement at the gateway to this answer, in milliseconds. */
-	gatewayMs: number,
+	gatewayMs: finiteNumberCodec,
 });
 
 /** Codec of the message by which a gateway shows that it still works on statements that it has not answered. */
 export const forwardProgressCodec = Codec.interface({kind: exactly('forward-progress')});
 
 /** Codec of the message that a statement is no longer awaited. */
-export const forwardCancelCodec = Codec.interface({kind: exactly('forward-cancel'), id: number});
+export const forwardCancelCodec = Codec.interface({kind: exactly('forward-cancel'), id: finiteNumberCodec});
 
 /** Codec of the message that ends a transaction, which is rolled back if it is still open. */
-export const forwardEndCodec = Codec.interface({kind: exactly('forward-end'), transaction: number});
+export const forwardEndCodec = Codec.interface({kind: exactly('forward-end'), transaction: finiteNumberCodec});
 
 /** Statement that a VM sends to a gateway. */
 export type ForwardMessage = GetType<typeof forwardCodec>;
--- a/packages/protocol/src/coordination/messages.ts
+++ b/packages/protocol/src/coordination/messages.ts
@@ -1,5 +1,6 @@
+import {countCodec, finiteNumberCodec} from '@chicorysaddle/model';
 import {
-	array, boolean, Codec, exactly, type GetType, number, oneOf, optional, record, string, tuple,
+	array, boolean, Codec, exactly, type GetType, oneOf, optional, record, string, tuple,
 } from 'purify-ts';
 import {
 	forwardAnswerCodec, forwardCancelCodec, forwardCodec, forwardEndCodec, forwardOpenCodec, forwardOpenedCodec, forwardProgressCodec,
@@ -7,18 +8,18 @@
 import {positionCodec} from './position-codec.js';
 
 /** Log position of a primary, and its age when the message was sent. */
-const positionReportCodec = Codec.interface({position: positionCodec, ageMs: number});
+const positionReportCodec = Codec.interface({position: positionCodec, ageMs: finiteNumberCodec});
 
 /** Log position of a group's primary and its age: group, term, offset, and age when the message was sent, in milliseconds. */
-const compactPositionCodec = tuple([string, number, number, number]);
+const compactPositionCodec = tuple([string, finiteNumberCodec, finiteNumberCodec, finiteNumberCodec]);
 
 /** Observations of a group's primary by one VM. */
 const evidenceReportCodec = Codec.interface({
 	instanceId: string,
 	/** Time since the last response, in milliseconds; absent if there was none. */
-	answeredAgoMs: optional(number),
+	answeredAgoMs: optional(finiteNumberCodec),
 	/** Time for which every attempt has failed, in milliseconds; absent while the primary responds. */
-	failingForMs: optional(number),
+	failingForMs: optional(finiteNumberCodec),
 	/** Whether the failures were refused connections; absent means false. */
 	isRefused: optional(boolean),
 });
@@ -26,12 +27,12 @@
 /** Term and primary of a group, as in the given revision of its row in the store. */
 const groupTermCodec = Codec.interface({
 	group: string,
-	term: number,
+	term: countCodec,
 	primaryId: string,
 	phase: oneOf([exactly('open'), exactly('closing')]),
 	/** Time that running writes get to finish when the term closes, in milliseconds. */
-	drainMs: number,
-	revision: number,
+	drainMs: finiteNumberCodec,
+	revision: countCodec,
 });
 
 /** An instance of a database group, as sent between VMs. */
@@ -40,68 +41,68 @@
 	group: string,
 	address: string,
 	zone: string,
-	slots: number,
+	slots: finiteNumberCodec,
 	state: oneOf([exactly('ready'), exactly('draining')]),
 	reportedRole: oneOf([exactly('primary'), exactly('replica')]),
-	bornMs: number,
+	bornMs: finiteNumberCodec,
 	/** Time for which the instance stayed cold when its entry was written, in milliseconds; absent unless it is cold. */
-	coldRemainingMs: optional(number),
+	coldRemainingMs: optional(finiteNumberCodec),
 });
 
 /** Time stamp of the newest coordinator report and the time since its arrival; from both the coordinator computes the earliest time at which a heartbeat was sent. */
-const echoCodec = Codec.interface({stampMs: number, ageMs: number});
+const echoCodec = Codec.interface({stampMs: finiteNumberCodec, ageMs: finiteNumberCodec});
 
 /** Transfer of a configuration to a VM and from it; present only for a large configuration or with several regions. */
 const configurationTransferCodec = Codec.interface({
 	/** Bytes that the sender has received of a newer configuration; absent while it receives none. */
-	receivedBytes: optional(number),
+	receivedBytes: optional(finiteNumberCodec),
 	/** Peer address of a source that has just stopped answering the sender. */
 	failedSource: optional(string),
 	/** Peer address at which the sender offers its configuration in parts; present while the coordinator has an older one. */
 	offeredAt: optional(string),
 });
 
-const classNumbersCodec = tuple([number, number, number]);
+const classNumbersCodec = tuple([finiteNumberCodec, finiteNumberCodec, finiteNumberCodec]);
 
 /**
  * Load of one queue of a group: group, target, waiting requests of the classes high, normal and low, placements per second of these classes, number of accounts
  * that have waiting requests, and the waiting requests of those that have the most.
  */
-const queueLoadCodec = tuple([string, oneOf([exactly('primary'), exactly('any')]), classNumbersCodec, classNumbersCodec, number, record(string, number)]);
+const queueLoadCodec = tuple([string, oneOf([exactly('primary'), exactly('any')]), classNumbersCodec, classNumbersCodec, finiteNumberCodec, record(string, finiteNumberCodec)]);
 
 /** Load of a queue, summed over VMs, the number of VMs on which requests wait, and the mean age when the message was sent, in milliseconds. */
-const summedLoadCodec = Codec.interface({load: queueLoadCodec, vms: number, ageMs: number});
+const summedLoadCodec = Codec.interface({load: queueLoadCodec, vms: finiteNumberCodec, ageMs: finiteNumberCodec});
 
 /** Operations in the window of the limits by slots of a fiftieth of it, the newest first. */
-const usageCountsCodec = array(number);
+const usageCountsCodec = array(finiteNumberCodec);
 
 /** Usage of an account on the sender in the last window: account, operations that it admitted without tokens and has not reported yet, and all. */
 const accountUsageCodec = tuple([string, usageCountsCodec, usageCountsCodec]);
 
 /** Usage of an account over all VMs in the window that ended with the sender's last grant: account, operations, and age in milliseconds. */
-const statedUsageCodec = tuple([string, number, number]);
+const statedUsageCodec = tuple([string, finiteNumberCodec, finiteNumberCodec]);
 
 /** Codec of the complete status report of a VM to the coordinator. */
 export const heartbeatCodec = Codec.interface({
 	kind: exactly('heartbeat'),
 	vm: string,
 	incarnation: string,
-	sequence: number,
+	sequence: finiteNumberCodec,
 	positions: record(string, positionReportCodec),
 	evidence: record(string, evidenceReportCodec),
 	/** Newest revision of each group's term that this VM has adopted, without the store's era; former builds read only this. */
-	revisions: record(string, number),
+	revisions: record(string, finiteNumberCodec),
 	/** The same with the store's era. */
-	storeRevisions: optional(record(string, number)),
-	configurationVersion: number,
+	storeRevisions: optional(record(string, finiteNumberCodec)),
+	configurationVersion: finiteNumberCodec,
 	/** Version of the evacuated zones that this VM knows; absent if it never knew of an evacuation. */
-	evacuationVersion: optional(number),
+	evacuationVersion: optional(finiteNumberCodec),
 	/** Revision of the instance list that this VM received last; absent if it reads the list from the store. */
 	instanceRevision: optional(string),
 	configurationTransfer: optional(configurationTransferCodec),
 	echo: optional(echoCodec),
 	/** Writes per second that the sender sends to the primary of each group; absent if there are none, or all zones are in one region. */
-	writesPerS: optional(record(string, number)),
+	writesPerS: optional(record(string, finiteNumberCodec)),
 	/** Loads of the queues in which requests wait; absent if there are none. */
 	loads: optional(array(queueLoadCodec)),
 	/** Whether the sender reads compact reports; absent means false. */
@@ -115,14 +116,14 @@
 		/** Optional kinds of messages that the sender reads, by feature; absent means none. */
 		features: optional(array(string)),
 		/** Capacity of the sender relative to the largest VMs; only with the feature `forwarding`. */
-		capacity: optional(number),
+		capacity: optional(finiteNumberCodec),
 		/** Whether the sender is shutting down; only with the feature `forwarding`. */
 		isDraining: optional(boolean),
 	})),
 	/** Revision of the member list that this VM has; absent if it has none. */
 	memberRevision: optional(string),
 	/** Time since the start of the sender's process, in milliseconds; absent from former builds. */
-	uptimeMs: optional(number),
+	uptimeMs: optional(finiteNumberCodec),
 	/** Usage of the accounts that have operations in the window of the limits; absent from former builds. */
 	accountUsage: optional(array(accountUsageCodec)),
 	/** Usage over all VMs as grants stated it; absent from former builds. */
@@ -135,20 +136,20 @@
  */
 export const heartbeatDeltaCodec = Codec.interface({
 	kind: exactly('heartbeat-delta'),
-	base: number,
-	sequence: number,
+	base: finiteNumberCodec,
+	sequence: finiteNumberCodec,
 	positions: array(compactPositionCodec),
 	evidence: record(string, evidenceReportCodec),
 	/** Revisions of terms, with the store's era. */
-	revisions: record(string, number),
-	configurationVersion: number,
-	evacuationVersion: optional(number),
+	revisions: record(string, finiteNumberCodec),
+	configurationVersion: finiteNumberCodec,
+	evacuationVersion: optional(finiteNumberCodec),
 	instanceRevision: optional(string),
 	configurationTransfer: optional(configurationTransferCodec),
 	memberRevision: optional(string),
 	echo: optional(echoCodec),
 	/** Writes per second that the sender sends to the primary of each group; absent if there are none, or all zones are in one region. */
-	writesPerS: optional(record(string, number)),
+	writesPerS: optional(record(string, finiteNumberCodec)),
 	/** Loads of all queues in which requests wait, also unchanged ones; absent if there are none. */
 	loads: optional(array(queueLoadCodec)),
 });
@@ -163,7 +164,7 @@
 	/** Region of the zone; absent where all zones are in one region. */
 	region: optional(string),
 	address: string,
-	capacity: number,
+	capacity: finiteNumberCodec,
 	/** Whether the VM is shutting down; absent means false. */
 	isDraining: optional(boolean),
 });
@@ -171,13 +172,13 @@
 /** Codec of the coordinator's response to a heartbeat; it is also sent when a term changes, then without a sequence number. */
 export const coordinatorReportCodec = Codec.interface({
 	kind: exactly('report'),
-	sequence: optional(number),
+	sequence: optional(finiteNumberCodec),
 	/** Monotonic time of the coordinator, in milliseconds. */
-	stampMs: number,
+	stampMs: finiteNumberCodec,
 	/** Fencing token of the coordinator. */
-	token: number,
+	token: countCodec,
 	/** Version of the coordinator's row in the store. */
-	dutyRevision: number,
+	dutyRevision: countCodec,
 	/** Terms of all groups; absent if the VM's heartbeat shows that it has them. */
 	terms: optional(array(groupTermCodec)),
 	/** Whether the VM has to read the configuration from the store itself. */
@@ -192,19 +193,19 @@
 	positions: record(string, positionReportCodec),
 	/** Positions that were learned since the report that the heartbeat echoes, or all; only in a compact report. */
 	compactPositions: optional(array(compactPositionCodec)),
-	configurationVersion: number,
+	configurationVersion: finiteNumberCodec,
 	/** Peer address of a VM that has this configuration; empty if the receiver has to wait for another report, absent if it has to read the store. */
 	configurationSource: optional(string),
 	/** Whether the configuration is fetched in parts: it is large, or there are several regions, and its source reads requests for parts; absent means false. */
 	configurationParts: optional(boolean),
 	/** Number of VMs that share the limits of accounts. */
-	members: number,
+	members: finiteNumberCodec,
 	/** Version of the evacuated zones that the coordinator knows, 0 if it never knew of an evacuation; absent if the VM's heartbeat shows this version, but for the answer to a complete heartbeat. */
-	evacuationVersion: optional(number),
+	evacuationVersion: optional(finiteNumberCodec),
 	/** Evacuated zones, each with the time since the coordinator learned of it, in milliseconds; absent if the VM has this version. */
-	evacuatedZones: optional(array(tuple([string, number]))),
+	evacuatedZones: optional(array(tuple([string, finiteNumberCodec]))),
 	/** Rank of the VM among all VMs, by which they take turns at cold instances; absent while no instance is cold. */
-	memberRank: optional(number),
+	memberRank: optional(finiteNumberCodec),
 	/** Loads over all VMs of the queues in which requests wait or waited shortly before; absent if there are none. */
 	loads: optional(array(summedLoadCodec)),
 	/** Whether the sender reads heartbeat deltas on this link; absent means false. */
@@ -221,33 +222,33 @@
 export const configurationRequestCodec = Codec.interface({kind: exactly('configuration-request')});
 
 /** Codec of a response with the configuration, in the store's encoding. */
-export const configurationReplyCodec = Codec.interface({kind: exactly('configuration-reply'), version: number, encoded: string});
+export const configurationReplyCodec = Codec.interface({kind: exactly('configuration-reply'), version: finiteNumberCodec, encoded: string});
 
 /** Codec of a request for a part of the configuration; sent only to VMs that announced the feature `configuration-parts`. */
 export const configurationPartRequestCodec = Codec.interface({
 	kind: exactly('configuration-part-request'),
 	/** Version that the sender has in force, to which changes would apply; 0 to get the whole configuration. */
-	version: number,
+	version: finiteNumberCodec,
 	/** Digest of the configuration of which the sender has the bytes before the offset; absent if it has none. */
 	digest: optional(string),
-	offset: number,
+	offset: finiteNumberCodec,
 });
 
 /** Codec of a part of a compressed configuration, or of the changes between two versions. */
 export const configurationPartCodec = Codec.interface({
 	kind: exactly('configuration-part'),
-	version: number,
+	version: finiteNumberCodec,
 	/** Version that the changes apply to; absent for a whole configuration. */
-	base: optional(number),
+	base: optional(finiteNumberCodec),
 	/** Digest of the configuration that results, uncompressed. */
 	digest: string,
 	/** Size of the whole content in bytes, of which this is a part. */
-	size: number,
-	offset: number,
+	size: finiteNumberCodec,
+	offset: finiteNumberCodec,
 	/** Bytes of the part in Base64. */
 	data: string,
 	/** Version of the store at which the sender knows the configuration to be the newest; absent if it does not know. */
-	storeVersion: optional(number),
+	storeVersion: optional(finiteNumberCodec),
 });
 
 /** Codec of the response of a VM that is not the coordinator to a message for the coordinator. */
@@ -262,15 +263,15 @@
  * `admitted` are the operations of the last window that the sender admitted without tokens and has not reported yet, absent if there are none.
  */
 export const tokenRequestCodec = Codec.interface({
-	kind: exactly('token-request'), vm: string, sequence: number, wants: record(string, Codec.interface({
-		needed: number, urgent: optional(number), extra: number, admitted: optional(usageCountsCodec),
+	kind: exactly('token-request'), vm: string, sequence: finiteNumberCodec, wants: record(string, Codec.interface({
+		needed: finiteNumberCodec, urgent: optional(finiteNumberCodec), extra: finiteNumberCodec, admitted: optional(usageCountsCodec),
 	})),
 });
 
 /** Codec of a response with rate limit tokens by account, the time until there are more, in milliseconds, and the operations that the account has left in its window; a former build does not state those. */
 export const tokenGrantCodec = Codec.interface({
-	kind: exactly('token-grant'), sequence: number, grants: record(string, Codec.interface({
-		count: number, waitMs: number, free: optional(number), used: optional(number),
+	kind: exactly('token-grant'), sequence: finiteNumberCodec, grants: record(string, Codec.interface({
+		count: finiteNumberCodec, waitMs: finiteNumberCodec, free: optional(finiteNumberCodec), used: optional(finiteNumberCodec),
 	})),
 });
 
@@ -279,7 +280,7 @@
 	kind: exactly('offer'),
 	step: oneOf([exactly('ask'), exactly('take-over')]),
 	/** What the sender knows of the usage of accounts, by account, and the percentages of all limits that it assumes besides; absent from former builds and when it asks. */
-	usage: optional(Codec.interface({accounts: array(tuple([string, usageCountsCodec])), evenPercentage: number, burstPercentage: number})),
+	usage: optional(Codec.interface({accounts: array(tuple([string, usageCountsCodec])), evenPercentage: finiteNumberCodec, burstPercentage: finiteNumberCodec})),
 });
 
 /** Codec of the response to an offer: the sender reaches the store and can become the coordinator. */
--- a/packages/protocol/src/coordination/position-codec.ts
+++ b/packages/protocol/src/coordination/position-codec.ts
@@ -1,4 +1,5 @@
-import {Codec, number} from 'purify-ts';
+import {countCodec, finiteNumberCodec} from '@chicorysaddle/model';
+import {Codec} from 'purify-ts';
 
 /** Codec of a log position. */
-export const positionCodec = Codec.interface({term: number, offset: number});
+export const positionCodec = Codec.interface({term: countCodec, offset: finiteNumberCodec});
