Codecs: a valid number is decoded in one step

Messages between VMs consist of numbers for the most part. No measurement: it takes back the second result per number that the checks of ranges had added.

--- a/packages/model/src/values/value-codecs.ts
+++ b/packages/model/src/values/value-codecs.ts
@@ -4,7 +4,8 @@
 
 function createNumberCodec(expected: string, isValid: (value: number) => boolean): Codec<number> {
 	return Codec.custom<number>({
-		decode: value => number.decode(value).chain((decoded): Either<string, number> => isValid(decoded) ? Right(decoded) : Left(`Expected ${expected}, but received a number with value ${decoded}`)),
+		// Messages between VMs consist of numbers for the most part, so a valid one is decoded in one step.
+		decode: (value): Either<string, number> => typeof value === 'number' && isValid(value) ? Right(value) : number.decode(value).chain(decoded => Left(`Expected ${expected}, but received a number with value ${decoded}`)),
 		encode: value => value,
 	});
 }
