Memory monitor: a lack of descriptors does not end the process

Cause: the resident size is read from a file, in a timer that contained nothing. Change: the size is left out where it cannot be read, and the check is a background task.

--- a/packages/gateway/src/observability/memory-monitor.ts
+++ b/packages/gateway/src/observability/memory-monitor.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import {getHeapStatistics} from 'node:v8';
+import {type BackgroundTasks} from '../tasks/index.js';
 import {type EventLog} from './event-log.js';
 import {type GatewayMetrics} from './gateway-metrics.js';
 
@@ -10,7 +11,8 @@
 	readonly heapLimit: number;
 	/** Memory outside of the heap that objects on it keep, such as buffers. */
 	readonly external: number;
-	readonly resident: number;
+	/** Undefined if it cannot be read: that takes a file descriptor. */
+	readonly resident: number | undefined;
 };
 
 /** Interval between checks of the memory, in milliseconds. */
@@ -29,12 +31,20 @@
 
 /** Reads the memory of this process. */
 export function readMemoryUsage(): MemoryUsage {
-	const {heapUsed, external, rss} = process.memoryUsage();
+	const {used_heap_size: heapUsed, heap_size_limit: heapLimit, external_memory: external} = getHeapStatistics();
 	return {
-		heapUsed, heapLimit: getHeapStatistics().heap_size_limit, external, resident: rss,
+		heapUsed, heapLimit, external, resident: readResidentSize(),
 	};
 }
 
+function readResidentSize(): number | undefined {
+	try {
+		return process.memoryUsage.rss();
+	} catch {
+		return undefined;
+	}
+}
+
 /** Shows the memory of this process as gauges and events, because a process that ends for lack of memory cannot log it. */
 export class MemoryMonitor {
 	#isHigh = false;
@@ -44,21 +54,24 @@
 		metrics.addGauge('heap_used_bytes', () => readUsage().heapUsed);
 		metrics.addGauge('heap_limit_bytes', () => readUsage().heapLimit);
 		metrics.addGauge('external_bytes', () => readUsage().external);
-		metrics.addGauge('resident_bytes', () => readUsage().resident);
+		metrics.addGauge('resident_bytes', () => readUsage().resident ?? Number.NaN);
 	}
 
-	/** Starts the checks, which do not keep the process running. */
-	start(): void {
-		setInterval(() => {
+	/**
+	 * Starts the checks, which do not keep the process running.
+	 * @param tasks - Contains an error of a check.
+	 */
+	start(tasks: BackgroundTasks): void {
+		setInterval(tasks.createCallback('memory check', () => {
 			this.check();
-		}, checkIntervalMs).unref();
+		}), checkIntervalMs).unref();
 	}
 
 	/** Logs the memory at every few checks, and whenever its use becomes high or normal again. */
 	check(): void {
 		const usage = this.readUsage();
 		const fields = {
-			heapMb: Math.round(usage.heapUsed / bytesPerMb), limitMb: Math.round(usage.heapLimit / bytesPerMb), externalMb: Math.round(usage.external / bytesPerMb), residentMb: Math.round(usage.resident / bytesPerMb),
+			heapMb: Math.round(usage.heapUsed / bytesPerMb), limitMb: Math.round(usage.heapLimit / bytesPerMb), externalMb: Math.round(usage.external / bytesPerMb), residentMb: usage.resident === undefined ? undefined : Math.round(usage.resident / bytesPerMb),
 		};
 		const share = usage.heapUsed / usage.heapLimit;
 		if (this.#isHigh ? share < normalShare : share >= highShare) {
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -55,7 +55,7 @@
 	clock, store: platformStore, connector: platformConnector, promotion, network: platformNetwork, getSettings, logOutput, log = new EventLog(identity.vm, logOutput), metrics = new GatewayMetrics(), isForwardingEnabled = true,
 }: GatewayPorts): WiredGateway {
 	const tasks = new BackgroundTasks(log, metrics, clock);
-	new MemoryMonitor(log, metrics).start();
+	new MemoryMonitor(log, metrics).start(tasks);
 	const store = createInstrumentedStore(createContainedStore(platformStore, tasks), metrics);
 	const connector = createContainedConnector(platformConnector, tasks);
 	const network = createContainedNetwork(platformNetwork, tasks);
