--- a/packages/gateway/src/process/bind-address.ts
+++ b/packages/gateway/src/process/bind-address.ts
@@ -5,8 +5,8 @@
 /** Interval between attempts to bind an address, in milliseconds: a probe that comes once a second finds the VM at most one interval later. */
 const bindIntervalMs = 100;
 
-/** Errors of a bind that pass by themselves: another process, such as the former one of this VM, holds the address, or the VM has not got it yet. */
-const passingErrorCodes: ReadonlySet<unknown> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL']);
+/** Errors of a bind that pass by themselves: another process, such as the former one of this VM, holds the address, the VM has not got it yet, or the system is short of descriptors or memory. */
+const passingErrorCodes: ReadonlySet<unknown> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM']);
 
 /** Name of a listener in the log. */
 export type ListenerName = 'callers' | 'metrics' | 'peers' | 'probe';
