--- a/packages/gateway/src/tests/tasks/failing-dependencies.test.ts
+++ b/packages/gateway/src/tests/tasks/failing-dependencies.test.ts
@@ -28,7 +28,7 @@
 /** Returns the ports of a VM with failing calls of one dependency. */
 type PortChange = (ports: GatewayPorts, calls: FailingCalls) => GatewayPorts;
 
-function wrapConnection(connection: InstanceConnection, calls: FailingCalls): InstanceConnection {
+function createFailingConnection(connection: InstanceConnection, calls: FailingCalls): InstanceConnection {
 	return {
 		get isOpen() {
 			return connection.isOpen;
@@ -44,7 +44,7 @@
 	};
 }
 
-function wrapLink(link: PeerLink, calls: FailingCalls): PeerLink {
+function createFailingLink(link: PeerLink, calls: FailingCalls): PeerLink {
 	return {
 		get isOpen() {
 			return link.isOpen;
@@ -82,7 +82,7 @@
 		...ports, connector: {
 			async open(instance, account, timeoutMs): Promise<ConnectResult> {
 				const result = await ports.connector.open(instance, account, timeoutMs);
-				return result.kind === 'opened' ? {...result, connection: wrapConnection(result.connection, calls)} : result;
+				return result.kind === 'opened' ? {...result, connection: createFailingConnection(result.connection, calls)} : result;
 			},
 		},
 	}),
@@ -110,8 +110,8 @@
 	}),
 	'messages to other VMs or the closing of links fail': ({network, ...ports}: GatewayPorts, calls: FailingCalls) => ({
 		...ports, network: {
-			connect: (address, handlers) => wrapLink(network.connect(address, handlers), calls),
-			listen: async (address, accept) => network.listen(address, link => accept(wrapLink(link, calls))),
+			connect: (address, handlers) => createFailingLink(network.connect(address, handlers), calls),
+			listen: async (address, accept) => network.listen(address, link => accept(createFailingLink(link, calls))),
 		},
 	}),
 	'the output of the log fails': ({logOutput, ...ports}: GatewayPorts, calls: FailingCalls) => ({
