Log: a full disk under the log does not end the process

What operators saw: a process that ends with exit code 1 at its first line, and after each restart again, as long as the file of its log has no space; no line of it is written. The same for each error of standard output but a closed pipe (a limit on file sizes, a quota, a device that fails). Cause: Roarr listens to the errors of standard output and throws all of them but EPIPE. The process's own listener did not help, since the exception of the first one ended the process.

--- a/packages/gateway/src/observability/event-log.ts
+++ b/packages/gateway/src/observability/event-log.ts
@@ -95,6 +95,11 @@
 		this.logEvent(name, fields);
 	}
 
+	/** Records that a line was lost after it was handed to the output. */
+	recordLostLine(): void {
+		this.#omittedLines += 1;
+	}
+
 	/** Returns the number of events of a name, with those whose lines were dropped. */
 	countEvents(name: EventName): number {
 		return this.#counts.get(name) ?? 0;
--- a/packages/gateway/src/process/process-supervisor.ts
+++ b/packages/gateway/src/process/process-supervisor.ts
@@ -91,6 +91,12 @@
 		this.#metrics?.addCount('task_failed');
 	}
 
+	/** Handles an error of the output of the log: the line is lost, and the process goes on. */
+	handleOutputError(): void {
+		this.#log.recordLostLine();
+		this.#metrics?.addCount('log_lines_lost');
+	}
+
 	/** Runs the program until the end of the process. */
 	async run(): Promise<void> {
 		try {
