Sessions: values and prepared statements are bounded for each session and in total

A session could define values and prepare statements without an end, and a VM kept all of them until the caller left, so that a few sessions could fill the heap. A short definition also kept all of the received text of which it was a part.

A session may take 256 KiB, all sessions of a VM 8 MiB; 2 KiB each are always accepted. A definition beyond its session's bound is refused as invalid, one beyond the total as overloaded; neither changes anything: the former definition of the name stays in force, and so does an open transaction. The texts that are kept are copies. The budget of the callers' input, MemoryBudget, moves to the gateway package with its test, so that sessions use it too.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export * from './configuration/index.js';
 export * from './instances/index.js';
 export * from './observability/index.js';
+export * from './memory/index.js';
 export * from './sessions/index.js';
 export * from './lifecycle/index.js';
 export * from './process/index.js';
--- /dev/null
+++ b/packages/gateway/src/memory/index.ts
@@ -0,0 +1,1 @@
+export * from './memory-budget.js';
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -1,9 +1,10 @@
 import {refusals, type LogPosition, type Refusal} from '@chicorysaddle/model';
 import {getPriorityClass, type ClientAccount} from '../configuration/index.js';
-import {type PreparedStatement, type SessionValues} from '../dispatch/index.js';
+import {type PreparedStatement} from '../dispatch/index.js';
 import {type CallerAnswer, type CallerConnection} from '../ports/index.js';
 import {type SessionState, type StatementKind, type StatementRequest} from '../statements/index.js';
 import {chooseAccountName, type Operation, type AdmissionResult} from './operation.js';
+import {SessionDefinitions} from './session-definitions.js';
 import {type SessionIdentity, type SessionDependencies} from './session-dependencies.js';
 import {type OperationOutcome, AutocommitRunner} from './autocommit-runner.js';
 import {StatementRunner} from './statement-runner.js';
@@ -21,10 +22,8 @@
 const acceptedInFailedTransaction: ReadonlySet<StatementKind> = new Set(['commit', 'roll-back']);
 
 /** The session of one caller, which lasts as long as its connection. */
-export class CallerSession implements SessionValues {
-	readonly values = new Map<string, string>();
-	valuesVersion = 0;
-	readonly #prepared = new Map<string, PreparedStatement>();
+export class CallerSession {
+	readonly #definitions: SessionDefinitions;
 	readonly #waiting: Array<{readonly request: StatementRequest; readonly receivedAt: number}> = [];
 	readonly #autocommit: AutocommitRunner;
 	readonly #runner: StatementRunner;
@@ -74,6 +73,7 @@
 		private readonly caller: CallerConnection,
 		private readonly onEnded: () => void,
 	) {
+		this.#definitions = new SessionDefinitions(dependencies.definitionBudget.createShare());
 		this.#runner = new StatementRunner(dependencies);
 		this.#autocommit = new AutocommitRunner(dependencies, this.#runner);
 	}
@@ -158,6 +158,7 @@
 			clearTimeout(this.#transactionIdleTimer);
 			this.#transaction?.rollBack();
 			this.#transaction = undefined;
+			this.#definitions.release();
 			this.onEnded();
 		}
 	}
@@ -300,7 +301,7 @@
 
 	async #execute(request: StatementRequest, startedAt: number): Promise<void> {
 		const name = request.statement.kind === 'execute' ? request.statement.name : '';
-		const prepared = this.#prepared.get(name);
+		const prepared = this.#definitions.getPrepared(name);
 		if (prepared === undefined) {
 			this.#refuse(request, refusals.preparedNotFound(name));
 			if (this.#transaction !== undefined) {
@@ -345,31 +346,31 @@
 	}
 
 	#setValue(request: StatementRequest): void {
-		if (request.statement.kind === 'set') {
-			this.values.set(request.statement.name, request.statement.value);
-			this.valuesVersion += 1;
-		}
-
-		this.#acknowledge();
+		const {statement} = request;
+		this.#acknowledgeUnlessRefused(request, statement.kind === 'set' ? this.#definitions.setValue(statement.name, statement.value) : undefined);
 	}
 
 	#prepare(request: StatementRequest): void {
-		if (request.statement.kind === 'prepare') {
-			const {name, access, shape} = request.statement;
-			this.#prepared.set(name, {access, shape});
-		}
-
-		this.#acknowledge();
+		const {statement} = request;
+		this.#acknowledgeUnlessRefused(request, statement.kind === 'prepare' ? this.#definitions.setPrepared(statement.name, statement) : undefined);
 	}
 
 	#closePrepared(request: StatementRequest): void {
 		if (request.statement.kind === 'close-prepared') {
-			this.#prepared.delete(request.statement.name);
+			this.#definitions.removePrepared(request.statement.name);
 		}
 
 		this.#acknowledge();
 	}
 
+	#acknowledgeUnlessRefused(request: StatementRequest, refusal: Refusal | undefined): void {
+		if (refusal === undefined) {
+			this.#acknowledge();
+		} else {
+			this.#refuse(request, refusal);
+		}
+	}
+
 	/** Checks shutdown, database, key and rate limit before a statement or transaction starts. */
 	async #admitOperation(request: StatementRequest, startedAt: number): Promise<AdmissionResult> {
 		if (this.#closingRefusal !== undefined) {
@@ -393,7 +394,7 @@
 
 		return {
 			kind: 'begun', operation: {
-				id: request.id, route, account, startedAt, session: this, lastCommit: this.#lastCommit, lastCommitAt: this.#lastCommitAt, mayHaveRun: false,
+				id: request.id, route, account, startedAt, session: this.#definitions, lastCommit: this.#lastCommit, lastCommitAt: this.#lastCommitAt, mayHaveRun: false,
 			},
 		};
 	}
--- a/packages/gateway/src/sessions/session-dependencies.ts
+++ b/packages/gateway/src/sessions/session-dependencies.ts
@@ -3,6 +3,7 @@
 import {type Dispatcher} from '../dispatch/index.js';
 import {type Forwarding} from '../forwarding/index.js';
 import {type AccountLimiter} from '../limits/index.js';
+import {type MemoryBudget} from '../memory/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock} from '../ports/index.js';
 import {type PositionSurveyor} from '../positions/index.js';
@@ -16,6 +17,8 @@
 	readonly limiter: AccountLimiter;
 	readonly transactionReservation: TransactionReservation;
 	readonly terms: TermRegistry;
+	/** Memory that the definitions of all sessions share. */
+	readonly definitionBudget: MemoryBudget;
 	readonly surveyor: PositionSurveyor;
 	readonly clock: Clock;
 	readonly log: EventLog;
--- a/platform/src/tests/wire/memory-budget.test.ts
+++ b/packages/gateway/src/tests/memory/memory-budget.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {MemoryBudget} from '../../wire/memory-budget.js';
+import {MemoryBudget} from '../../memory/index.js';
 
 // Guards against callers that are kept out because a few others fill the memory for input with messages that do not end.
 test('a small share grows while large ones use all of the budget, a large one does not', t => {
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -18,7 +18,7 @@
 	type AdjustableSettingsSource, type Clock, type CoordinationStore, type InstanceConnector, type PeerNetwork, type PromotionService,
 } from '../ports/index.js';
 import {InstanceStatusReader, PositionSurveyor} from '../positions/index.js';
-import {type SessionDependencies, StatementRunner} from '../sessions/index.js';
+import {createDefinitionBudget, type SessionDependencies, StatementRunner} from '../sessions/index.js';
 import {
 	BackgroundTasks, createContainedConnector, createContainedNetwork, createContainedPromotionService, createContainedStore,
 } from '../tasks/index.js';
@@ -128,7 +128,7 @@
 		identity, coordinatorLease, coordinator, promoter, registrar, storeRecovery, terms, configuration, configurationWatcher, instances, evacuations, guard, instanceWatcher, dispatcher, limiter, store, network, clock, log, metrics, random: Math.random, getSettings, forwarding, tasks,
 	});
 	const sessionDependencies: SessionDependencies = {
-		configuration, dispatcher, limiter, transactionReservation: new TransactionReservation(), terms, clock, log, metrics, tasks, forwarding, surveyor: new PositionSurveyor({
+		configuration, dispatcher, limiter, transactionReservation: new TransactionReservation(), definitionBudget: createDefinitionBudget(), terms, clock, log, metrics, tasks, forwarding, surveyor: new PositionSurveyor({
 			statusReader, terms, instances, groupSizes, clock, log, metrics,
 		}),
 	};
