Promotion: the first term of a group is written at intervals while the writes fail

What operators would have seen: a coordinator that calls the store 85 times a second while the store refuses writes, with two groups; with a row that is not at the expected version for as long as that lasts.

Cause: a group without a term is checked in every tick (50 ms), and a failed write of its first term (with the read that follows it) was not followed by the delay that all other failures of a check have.

Change: whatever leaves a group without its first term is followed by the retry delay of 200 ms.

Evidence: tests/coordination/unwritten-term printed "100 attempts in 5000 ms" before; now at most 25.

--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -124,7 +124,10 @@
 		try {
 			const term = this.dependencies.terms.getTerm(group);
 			if (term === undefined) {
-				await this.#recordInitialPrimary(group);
+				if (await this.#recordInitialPrimary(group) === undefined) {
+					await delay(retryDelayMs);
+				}
+
 				return;
 			}
 
@@ -190,20 +193,19 @@
 		return isRefutation(await this.dependencies.statusReader.readStatus(instance, statusTimeoutMs));
 	}
 
-	async #recordInitialPrimary(group: string): Promise<void> {
+	/** Records the first term of a group; returns undefined if its row was not written. */
+	async #recordInitialPrimary(group: string): Promise<StoredTerm | undefined> {
 		const instances = this.dependencies.instances.getGroupInstances(group);
 		const readings = await this.dependencies.statusReader.readStatuses(instances);
 		const primary = findPrimary(readings);
 		// An instance of an evacuated zone cannot be asked; once it is recorded as the primary, another one replaces it.
 		const evacuated = instances.find(instance => instance.reportedRole === 'primary' && this.dependencies.guard.isCutOff(instance));
 		if (primary === undefined && evacuated !== undefined && readings.length > 0) {
-			await this.dependencies.termWriter.openTerm(group, 0, {term: Math.max(...readings.map(({status}) => status.term)), primaryId: evacuated.id});
-			return;
+			return this.dependencies.termWriter.openTerm(group, 0, {term: Math.max(...readings.map(({status}) => status.term)), primaryId: evacuated.id});
 		}
 
 		if (primary === undefined) {
-			await delay(retryDelayMs);
-			return;
+			return undefined;
 		}
 
 		const {groupSizes, termWriter, clock} = this.dependencies;
@@ -212,13 +214,12 @@
 		const incompleteSince = this.#incompleteSince.get(group) ?? clock.now();
 		const isRegistrationOver = clock.now() - incompleteSince >= registrationTimeoutMs;
 		if (findSurveyedPrimary(createRoles(readings), expectedCount)?.id === primary.instance.id || (isRegistrationOver && expectedCount === 1)) {
-			await termWriter.openTerm(group, 0, content);
-			return;
+			return termWriter.openTerm(group, 0, content);
 		}
 
 		// The store may have lost a row: an instance that does not answer may lead a later term.
 		this.#incompleteSince.set(group, incompleteSince);
-		await (isRegistrationOver ? termWriter.createClosedTerm(group, content) : delay(retryDelayMs));
+		return isRegistrationOver ? termWriter.createClosedTerm(group, content) : undefined;
 	}
 
 	async #replacePrimary(term: GroupTerm, reason: PromotionReason): Promise<void> {
--- /dev/null
+++ b/packages/gateway/src/tests/coordination/unwritten-term.test.ts
@@ -0,0 +1,30 @@
+import test from 'ava';
+import {TestCluster} from '../fakes/test-cluster.js';
+
+/** Minimum interval between attempts to write a term, in milliseconds. */
+const retryIntervalMs = 200;
+
+const durationMs = 5000;
+
+// Guards against a coordinator that calls the store in every tick, for each group, while the first term of a group is not written.
+test.serial('a coordinator that fails to write the first term of a group tries again at intervals', async t => {
+	const cluster = new TestCluster(['vm1', 'vm2', 'vm3']);
+	const {store} = cluster;
+	// The write of another row at the expected version of an absent one is refused.
+	store.rows.set('group/db', {key: 'group/db', value: '', version: 1});
+	await cluster.start();
+	const write = store.write.bind(store);
+	let attempts = 0;
+	store.write = writes => {
+		attempts += writes.some(({key}) => key === 'group/db') ? 1 : 0;
+		return write(writes);
+	};
+
+	await cluster.time.advance(durationMs);
+	t.true(attempts > 0);
+	t.true(attempts <= durationMs / retryIntervalMs, `${attempts} attempts in ${durationMs} ms`);
+	store.rows.delete('group/db');
+	await cluster.time.advance(1000);
+	t.is(cluster.getTermRow().primaryId, 'db-1');
+	cluster.stop();
+});
