Tests: start of all VMs under random faults

In virtual time, two to six VMs with two groups start within 0.3 s, for the first time or after a loss of power (rows of former processes and of VMs that are gone, a lease that a former process held), while the store is refused, silent, slow or loses answers, the list of instances or the configuration comes late or in parts, instances are down, dark or register late, promotions are lost or rejected, links are down, the time of day jumps and a VM is restarted, for up to 20 s. After the last fault each VM serves reads and writes of each group within the sum of the timeouts of a start; calls to the store and to instances are bounded by the retry intervals.

--- a/packages/gateway/src/tests/fakes/fake-store.ts
+++ b/packages/gateway/src/tests/fakes/fake-store.ts
@@ -7,8 +7,6 @@
 /** Injected store fault: `busy` rejects calls, `silent` lets them time out, `answers-lost` applies writes but loses the responses. */
 export type StoreFault = 'none' | 'busy' | 'silent' | 'answers-lost';
 
-const responseDelayMs = 4;
-
 /** Older state of a store. */
 export type StoreCopy = {readonly rows: ReadonlyMap<string, SharedRow>; readonly version: number; readonly evacuatedZones: ReadonlySet<string>};
 
@@ -31,6 +29,10 @@
 	version = 0;
 	era = 0;
 	readonly pollWaiters = new Set<() => void>();
+	/** Time until a response, in milliseconds; a call that it exceeds gets none, but is performed. */
+	responseDelayMs = 4;
+	/** Called with the VM of each call. */
+	onCall: (vm: string) => void = () => undefined;
 	/** Number of chunks in which a configuration arrives. */
 	chunkCount = 0;
 	/** Returns the time that the next chunk takes to a VM, in milliseconds; infinite if it never arrives. */
@@ -184,6 +186,7 @@
 	}
 
 	async #call<T>(timeoutMs: number, operation: () => T, writes?: readonly SharedRowWrite[]): Promise<StoreResult<T>> {
+		this.store.onCall(this.vm);
 		if (this.#isAborted) {
 			await pause(timeoutMs);
 			return {kind: 'failed', failure: {reason: 'lost', message: 'no answer'}};
@@ -208,6 +211,13 @@
 			return {kind: 'failed', failure: {reason: 'lost', message: 'no answer'}};
 		}
 
+		const {responseDelayMs} = this.store;
+		if (responseDelayMs > timeoutMs) {
+			setTimeout(operation, responseDelayMs);
+			await pause(timeoutMs);
+			return {kind: 'failed', failure: {reason: 'lost', message: 'no answer'}};
+		}
+
 		await pause(responseDelayMs);
 		this.restoreCount += this.#hasResponse && this.store.era > this.era ? 1 : 0;
 		this.#hasResponse = true;
