Settings cut off after a complete beginning come into force without a signal

Seen: a settings file that is cut off where its beginning is complete and valid loads without an error: a number cut in its last line (GraceS = 1 of 10), or a last section that is missing and whose settings are optional. At the start nothing corrects it, since no signal follows. An address that was in the file only while it was being replaced was waited for without an end, although the file had the right one by then.

Cause: the start read the file once.

Change: the settings are read again - every second while addresses are waited for, and once more when all are bound, before anything acts for the VM: what differs comes into force as a whole, the addresses that were bound are given back and bound anew (settings.changed); - a second after the start, until two readings agree, for 30 s at most: what differs is handled like a reload (process.reload), so that the time to stop, capacity, draining, evacuation and seeds come into force, and what needs a restart is logged.

Weighed: a wait until two readings 100 ms apart agree delays every start; a first reading in the entry file gives a longer distance, but a signal between the two readings would be taken for read; a process that ends in order when a restart is needed would be an end by itself, on many VMs if the change is announced to all. So regions and the window of limits that were cut off for more than the start takes stay until the next restart, with a line.

Ordinary starts read the file twice more and make no call.

--- a/packages/gateway/src/coordination/tcp-peer-network.ts
+++ b/packages/gateway/src/coordination/tcp-peer-network.ts
@@ -163,12 +163,14 @@
 
 	/**
 	 * Binds an address for a later call of `listen`; until then connections to it are closed.
+	 * @returns The server that holds the address.
 	 * @throws When the address cannot be bound.
 	 */
-	async bind(address: string): Promise<void> {
+	async bind(address: string): Promise<PeerServer> {
 		const server = new LinePeerServer(this.reportError, this.#buffers);
 		await server.bind(address, this.reportServerError);
 		this.#boundServers.set(address, server);
+		return server;
 	}
 
 	async listen(address: string, accept: PeerAcceptor): Promise<TcpPeerServer> {
--- a/packages/gateway/src/process/bind-address.ts
+++ b/packages/gateway/src/process/bind-address.ts
@@ -11,13 +11,19 @@
 /** Name of a listener in the log. */
 export type ListenerName = 'callers' | 'metrics' | 'peers' | 'probe';
 
+/** An address that is bound. */
+export type BoundListener = {
+	/** Gives the address back; connections that were accepted stay open. */
+	close(): unknown;
+};
+
 /** An address to listen on. */
 export type Listener = {
 	readonly name: ListenerName;
 	/** Host and port. */
 	readonly address: string;
 	/** Binds the address; rejects if it cannot be bound. */
-	readonly bind: () => Promise<unknown>;
+	readonly bind: () => Promise<BoundListener>;
 };
 
 /** Conditions of a bind. */
@@ -30,20 +36,20 @@
 
 /**
  * Binds an address, and tries again while it is in use or not assigned.
- * @returns Whether the address was bound before the signal was aborted.
+ * @returns The bound address, undefined if the signal was aborted before.
  * @throws The error of the bind, if it does not pass by itself.
  */
-export async function bindAddress({name, address, bind}: Listener, {clock, log, signal}: BindConditions): Promise<boolean> {
+export async function bindAddress({name, address, bind}: Listener, {clock, log, signal}: BindConditions): Promise<BoundListener | undefined> {
 	const startedAt = clock.now();
 	let isWaiting = false;
 	while (!signal.aborted) {
 		try {
-			await bind();
+			const bound = await bind();
 			if (isWaiting) {
 				log.logEvent('listener.bound', {listener: name, address, waitedMs: Math.round(clock.now() - startedAt)});
 			}
 
-			return true;
+			return bound;
 		} catch (error) {
 			const code = error instanceof Error && 'code' in error ? error.code : undefined;
 			if (!passingErrorCodes.has(code)) {
@@ -59,5 +65,5 @@
 		}
 	}
 
-	return false;
+	return undefined;
 }
--- a/packages/gateway/src/process/process-supervisor.ts
+++ b/packages/gateway/src/process/process-supervisor.ts
@@ -1,10 +1,11 @@
+import {isDeepStrictEqual} from 'node:util';
 import {Left, type Either} from 'purify-ts';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock} from '../ports/index.js';
-import {bindAddress, type Listener} from './bind-address.js';
 import {delay} from './delay.js';
 import {formatError, formatErrorMessage} from './format-error.js';
-import {readRepeatedly} from './read-repeatedly.js';
+import {readLimitMs, readRepeatedly} from './read-repeatedly.js';
+import {type ListenerLists, ServiceListeners} from './service-listeners.js';
 import {type ProcessSignal} from './signal-buffer.js';
 
 /** Phase of a process; it is part of the line that the process ends with. */
@@ -13,14 +14,13 @@
 /** Time before the end of the grace period at which a shutdown that has not ended is given up, in milliseconds. */
 const abandonMarginMs = 100;
 
+/** Interval at which the settings are read again at the start, in milliseconds: their file may have been complete in itself, but cut off, when it was read. */
+const settingsCheckMs = 1000;
+
 /** Service that a process runs. */
-export type SupervisedService<Settings> = {
+export type SupervisedService<Settings> = ListenerLists & {
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
-	/** Addresses that are bound one after another before the service starts; two processes of one VM meet at the first one, and neither waits for the other with a part of them. */
-	readonly listeners: readonly Listener[];
-	/** Addresses that the service does not wait for. */
-	readonly optionalListeners: readonly Listener[];
 	/** Starts to act for the VM; called when all listeners are bound. */
 	start(): Promise<void>;
 	/** Applies settings that were read again, or logs the reason why they could not be read. */
@@ -57,6 +57,8 @@
 	#end: {code: number; reason: string} | undefined;
 	#isReloadDue = false;
 	#reload: AbortController | undefined;
+	/** Settings that were read last. */
+	#settings: Settings | undefined;
 	#service: SupervisedService<Settings> | undefined;
 
 	constructor(private readonly program: SupervisedProgram<Settings>, private readonly dependencies: ProcessSupervisorDependencies) {
@@ -112,40 +114,89 @@
 	}
 
 	async #runPhases(): Promise<void> {
-		const settings = await this.#loadSettings();
-		if (settings === undefined) {
+		const service = await this.#bindService();
+		if (service === undefined) {
 			return;
 		}
 
-		const service = this.program.createService(settings);
-		this.#service = service;
-		this.#log = service.log;
-		this.#metrics = service.metrics;
-		this.#phase = 'binding';
-		for (const listener of service.optionalListeners) {
-			void this.#bindOptional(listener);
-		}
-
-		for (const listener of service.listeners) {
-			if (!await bindAddress(listener, {clock: this.dependencies.clock, log: this.#log, signal: this.#stop.signal})) {
-				return;
-			}
-		}
-
 		await service.start();
 		this.#phase = 'serving';
 		if (this.#isReloadDue) {
 			void this.#reloadSettings();
 		}
 
+		void this.#confirmSettings();
 		await this.#waitForEnd();
 		await this.#drainService(service);
 	}
 
+	/** Creates the service and binds its addresses, with the settings that are in force when all are bound; returns undefined if the process is to end. */
+	async #bindService(): Promise<SupervisedService<Settings> | undefined> {
+		for (let settings = await this.#loadSettings(); settings !== undefined; settings = await this.#loadSettings()) {
+			const service = this.program.createService(settings);
+			this.#service = service;
+			this.#log = service.log;
+			this.#metrics = service.metrics;
+			this.#phase = 'binding';
+			const listeners = new ServiceListeners(service, {clock: this.dependencies.clock, log: this.#log, signal: this.#stop.signal});
+			if (await this.#bindListeners(listeners) && !this.#areSettingsChanged()) {
+				return service;
+			}
+
+			listeners.close();
+			if (!this.#stop.signal.aborted) {
+				this.#log.logEvent('settings.changed', {});
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Returns whether the addresses were bound before the settings changed. */
+	async #bindListeners(listeners: ServiceListeners): Promise<boolean> {
+		const bound = new AbortController();
+		try {
+			return await Promise.race([listeners.bind(), this.#waitForOtherSettings(bound.signal)]);
+		} finally {
+			bound.abort();
+		}
+	}
+
+	async #waitForOtherSettings(signal: AbortSignal): Promise<false> {
+		do {
+			await delay(settingsCheckMs, signal);
+		} while (!signal.aborted && !this.#areSettingsChanged());
+
+		return false;
+	}
+
+	/** Returns whether other settings than those that were read last can be read. */
+	#areSettingsChanged(): boolean {
+		return this.program.loadSettings().map(settings => !isDeepStrictEqual(settings, this.#settings)).orDefault(false);
+	}
+
+	/** Reads the settings again after the start, because no signal follows if they were being written when they were read, until two readings agree. */
+	async #confirmSettings(): Promise<void> {
+		const deadline = this.dependencies.clock.now() + readLimitMs;
+		let isConfirmed = false;
+		while (!isConfirmed && this.dependencies.clock.now() < deadline) {
+			await delay(settingsCheckMs, this.#stop.signal);
+			if (this.#stop.signal.aborted) {
+				return;
+			}
+
+			const reading = this.program.loadSettings();
+			isConfirmed = reading.isRight() && isDeepStrictEqual(reading.extract(), this.#settings);
+			if (reading.isRight() && !isConfirmed) {
+				await this.#reloadSettings();
+			}
+		}
+	}
+
 	async #loadSettings(): Promise<Settings | undefined> {
 		const settings = await readRepeatedly(() => {
-			// What the signal announced is part of this reading.
-			this.#isReloadDue = false;
+			// What the signal announced is part of the first reading; later ones are answered with a line when the service runs.
+			this.#isReloadDue &&= this.#phase !== 'loading-settings';
 			return this.program.loadSettings();
 		}, {
 			clock: this.dependencies.clock, signal: this.#stop.signal, onFailed: reason => {
@@ -156,15 +207,8 @@
 		settings.ifLeft(reason => {
 			this.#requestEnd(1, reason);
 		});
-		return this.#stop.signal.aborted ? undefined : settings.toMaybe().extract();
-	}
-
-	async #bindOptional(listener: Listener): Promise<void> {
-		try {
-			await bindAddress(listener, {clock: this.dependencies.clock, log: this.#log, signal: this.#stop.signal});
-		} catch (error) {
-			this.#log.logEvent('metrics.unavailable', {address: listener.address, reason: formatErrorMessage(error)});
-		}
+		this.#settings = this.#stop.signal.aborted ? undefined : settings.toMaybe().extract();
+		return this.#settings;
 	}
 
 	/** Reads the settings again, as often as necessary, since the signal is sent once only; a later signal begins anew. */
@@ -178,6 +222,7 @@
 			},
 		});
 		if (!reload.signal.aborted) {
+			this.#settings = settings.orDefault(this.#settings!);
 			this.#service?.applySettings(settings.mapLeft(reason => `not read again: ${reason}`));
 		}
 	}
--- a/packages/gateway/src/tests/process/process-supervisor.test.ts
+++ b/packages/gateway/src/tests/process/process-supervisor.test.ts
@@ -20,6 +20,8 @@
 	readonly exits: number[] = [];
 	readonly metrics = new GatewayMetrics();
 	readonly bound: string[] = [];
+	/** Names of the settings that a service was created with. */
+	readonly created: string[] = [];
 	/** Errors of the binds by the name of the listener. */
 	readonly bindErrors = new Map<string, string>();
 	/** Settings that were applied, or the reasons why none were. */
@@ -48,27 +50,35 @@
 				}
 
 				this.bound.push(name);
+				return {
+					close: () => {
+						this.bound.splice(this.bound.indexOf(name), 1);
+					},
+				};
 			},
 		});
 		this.supervisor = new ProcessSupervisor({
 			loadSettings: () => this.settings,
-			createService: () => ({
-				log: new EventLog('vm1', this.output),
-				metrics: this.metrics,
-				listeners: [createListener('callers'), createListener('probe'), createListener('peers')],
-				optionalListeners: [createListener('metrics')],
-				start: async () => {
-					this.startCount += 1;
-					this.onStart();
-				},
-				applySettings: settings => {
-					this.applied.push(settings.caseOf({Left: reason => reason, Right: ({name}) => name}));
-				},
-				drain: async () => new Promise(resolve => {
-					setTimeout(resolve, this.drainMs);
-				}),
-				getGraceMs: () => this.graceMs,
-			}),
+			createService: settings => {
+				this.created.push(settings.name);
+				return {
+					log: new EventLog('vm1', this.output),
+					metrics: this.metrics,
+					listeners: [createListener('callers'), createListener('probe'), createListener('peers')],
+					optionalListeners: [createListener('metrics')],
+					start: async () => {
+						this.startCount += 1;
+						this.onStart();
+					},
+					applySettings: reading => {
+						this.applied.push(reading.caseOf({Left: reason => reason, Right: ({name}) => name}));
+					},
+					drain: async () => new Promise(resolve => {
+						setTimeout(resolve, this.drainMs);
+					}),
+					getGraceMs: () => this.graceMs,
+				};
+			},
 		}, {
 			clock: this.time, log: new EventLog(undefined, this.output), writeError: text => this.errors.push(text), exit: code => this.exits.push(code),
 		});
@@ -254,6 +264,80 @@
 	t.deepEqual(process.exits, [0]);
 });
 
+// Guards against settings that stay incomplete, because their file was cut off after a complete beginning when it was read at the start, and no signal follows.
+test.serial('settings that change after they were read at the start are applied without a signal, until two readings agree', async t => {
+	const process = new SupervisedProcess();
+	await process.start(500);
+	process.settings = Right({name: 'second'});
+	await process.time.advance(1000);
+	t.deepEqual(process.applied, ['second']);
+	process.settings = Left('cut off');
+	await process.time.advance(1000);
+	process.settings = Right({name: 'third'});
+	await process.time.advance(1000);
+	t.deepEqual(process.applied, ['second', 'third']);
+	await process.time.advance(2000);
+	process.settings = Right({name: 'fourth'});
+	await process.time.advance(60_000);
+	t.deepEqual(process.applied, ['second', 'third'], 'later changes are announced by a signal');
+	t.deepEqual(process.created, ['first']);
+	await process.stop();
+	t.deepEqual(process.exits, [0]);
+});
+
+test.serial('settings that are the same a moment after the start are not applied again, and a file that is gone changes nothing', async t => {
+	const process = new SupervisedProcess();
+	await process.start(5000);
+	t.deepEqual(process.applied, []);
+	await process.stop();
+
+	const gone = new SupervisedProcess();
+	await gone.start(500);
+	gone.settings = Left('no file');
+	await gone.time.advance(60_000);
+	t.deepEqual(gone.applied, []);
+	await gone.stop();
+	t.deepEqual(gone.exits, [0]);
+});
+
+// Guards against a process that waits for good for an address that its settings named only while their file was being written.
+test.serial('settings that change while addresses are waited for are taken into force, before anything acts for the VM', async t => {
+	const process = new SupervisedProcess();
+	process.bindErrors.set('peers', 'EADDRNOTAVAIL');
+	await process.start(3000);
+	t.deepEqual(process.bound, ['metrics', 'callers', 'probe']);
+	process.settings = Left('cut off');
+	await process.time.advance(3000);
+	t.deepEqual(process.created, ['first']);
+	process.settings = Right({name: 'second'});
+	await process.time.advance(1500);
+	t.deepEqual(process.created, ['first', 'second']);
+	t.deepEqual(process.bound, ['metrics', 'callers', 'probe'], 'the former addresses are given back');
+	t.is(process.startCount, 0);
+	process.bindErrors.clear();
+	await process.time.advance(200);
+	t.is(process.startCount, 1);
+	t.deepEqual(process.created, ['first', 'second']);
+	await process.time.advance(2000);
+	t.deepEqual(process.applied, []);
+	t.true(process.events.includes('settings.changed vm=vm1'), process.events.join('; '));
+	await process.stop();
+	t.deepEqual(process.exits, [0]);
+});
+
+test.serial('settings that change while the addresses are bound are read once more before the start', async t => {
+	const process = new SupervisedProcess();
+	process.bindErrors.set('callers', 'EADDRINUSE');
+	await process.start(250);
+	process.settings = Right({name: 'second'});
+	process.bindErrors.clear();
+	await process.time.advance(200);
+	t.deepEqual(process.created, ['first', 'second']);
+	t.deepEqual(process.bound.toSorted(), ['callers', 'metrics', 'peers', 'probe']);
+	t.is(process.startCount, 1);
+	await process.stop();
+});
+
 // Guards against a process that ends, because one of its tasks failed.
 test.serial('an unhandled rejection is logged and counted, and the process goes on', async t => {
 	const process = new SupervisedProcess();
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -15,7 +15,7 @@
 		},
 	},
 	'process.reload': {
-		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'SIGHUP: the settings that were applied, and those that need a restart; while the file cannot be read the former ones stay in force, and it is read again for 30 s', fields: {applied: 'string', needsRestart: 'string', reason: 'string?'},
+		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'after SIGHUP, or a moment after the start if the file has changed: the settings that were applied, and those that need a restart; while the file cannot be read the former ones stay in force, and it is read again for 30 s', fields: {applied: 'string', needsRestart: 'string', reason: 'string?'},
 	},
 	'process.failed': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an error that nothing handled: the process ends in order, with exit code 1', fields: {phase: 'string', error: 'string'},
@@ -29,6 +29,9 @@
 	'settings.unreadable': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'at the start the settings cannot be read, or for another reason than before; they are read again for 30 s', fields: {reason: 'string'},
 	},
+	'settings.changed': {
+		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'the settings changed before all addresses were bound; the process gives back those that are and starts with the new settings', fields: {},
+	},
 	'listener.waiting': {
 		importance: 'state', scope: 'vm', isPossibleCause: true, description: 'an address (`callers`, `probe`, `peers` or `metrics`) is in use or not assigned; the process waits until it can be bound', fields: {listener: 'string', address: 'string', reason: 'string'},
 	},
