Coordinator: a VM of whose duties one fails each time gives up the role

Operators saw (by reading so far): since errors of background tasks no longer end the process, a coordinator whose duty throws at every tick kept its lease while the renewals succeeded. No other VM took over, so no primary was replaced, no list of instances or no report was sent, for as long as the cause lasted.

Cause: the lease only says that the VM reaches the store; nothing looked at whether the work behind it succeeds.

Change: DutyMonitor counts failures in a row of each duty (reports, tokens, own heartbeat and term lease, check of the groups as a whole and of each one, registration, recovery of the store, watches of instances and configuration). After five, over 3 s, the coordinator logs coordinator.failing, counts it and releases the lease. For 60 s it acquires the lease only after 3 s more of vacancy than others need, and accepts no offer of the role, which a larger VM would get at once. The tolerated time doubles with each resignation, up to 60 s, and falls back once that duty succeeds.

When every VM fails: the role passes round, after 3, 6, 12 ... 60 s on each VM; the duties that work are done meanwhile. A VM that has no registered others keeps the role. A duty that hangs, or does nothing without an error, is not noticed.

Why it works: a success in between resets the count, so that errors at random (failing-dependencies, 20% of the calls) change nothing, and an interrupted change of primary is resumed by the next coordinator as after any end of a lease.

--- a/packages/gateway/src/configuration/configuration-watcher.ts
+++ b/packages/gateway/src/configuration/configuration-watcher.ts
@@ -64,6 +64,7 @@
 	readonly #listeners: Array<(configuration: GatewayConfiguration) => void> = [];
 	readonly #readListeners: Array<(reading: VersionedConfiguration) => void> = [];
 
+	#readCount = 0;
 	readonly #backoff: Backoff;
 
 	readonly #recordProgress = (receivedBytes: number): void => {
@@ -74,6 +75,11 @@
 		this.#backoff = new Backoff(initialBackoffMs, maxBackoffMs, dependencies.random);
 	}
 
+	/** Number of readings of the store that were applied. */
+	get readCount(): number {
+		return this.#readCount;
+	}
+
 	/** Whether polling was stopped. */
 	get isStopped(): boolean {
 		return this.#isStopped;
@@ -273,6 +279,8 @@
 			this.#storeVersion = undefined;
 			throw new Error('what was read from the store was not applied');
 		}
+
+		this.#readCount += 1;
 	}
 
 	#apply(configuration: GatewayConfiguration, source: string, snapshot = new ConfigurationSnapshot(configuration)): void {
--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -1,5 +1,5 @@
 import {
-	type CoordinatorReport, type HandOverOffer, type Heartbeat, type HeartbeatDelta, type parsePeerMessage, type TokenDemands, type TokenGrants,
+	type CoordinatorReport, type HandOverOffer, type Heartbeat, type HeartbeatDelta, type parsePeerMessage, type TokenDemands, type TokenGrants, type TokenRequest,
 } from '@chicorysaddle/protocol/coordination';
 import {type ConfigurationWatcher, type ConfigurationView} from '../configuration/index.js';
 import {type Dispatcher} from '../dispatch/index.js';
@@ -15,6 +15,7 @@
 import {type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
+import {type DutyMonitor} from './duty-monitor.js';
 import {type GatewayIdentity} from './gateway-identity.js';
 import {HeartbeatBuilder} from './heartbeat-builder.js';
 import {ConfigurationReceiver} from './configuration-receiver.js';
@@ -66,6 +67,9 @@
 /** Time for which a VM that resigned for being slow does not acquire the lease again, in milliseconds. */
 const slowVmBackoffMs = 15_000;
 
+/** Time for which a VM of whose duties one failed acquires the lease only if no other VM does, in milliseconds. */
+const failingVmDeferralMs = 60_000;
+
 /** Maximum time for which a leaving coordinator waits for another VM to take over, in milliseconds: it covers a running change of primary. */
 const handOverTimeoutMs = 2500;
 
@@ -95,6 +99,7 @@
 	readonly random: () => number;
 	readonly getSettings: AdjustableSettingsSource;
 	readonly tasks: BackgroundTasks;
+	readonly duties: DutyMonitor;
 	/** Absent where no operation is forwarded. */
 	readonly forwarding?: Forwarding | undefined;
 };
@@ -259,6 +264,8 @@
 			return;
 		}
 
+		this.dependencies.duties.reset();
+
 		this.dependencies.tasks.tryCall('heartbeat', () => {
 			this.#sendHeartbeat(now);
 		});
@@ -276,14 +283,16 @@
 
 	/** Does each duty of the coordinator, also after an error in another one. */
 	#runCoordinatorTick(now: number): void {
-		const {tasks, coordinatorLease, storeRecovery, promoter, registrar} = this.dependencies;
-		this.#link?.close();
-		this.#link = undefined;
-		this.dependencies.instanceWatcher.setPolling(true);
-		this.dependencies.configurationWatcher.setPolling(true);
-		this.dependencies.terms.renewLease(this.dependencies.terms.getClockReading());
+		const {tasks, duties, coordinatorLease, storeRecovery, promoter, registrar} = this.dependencies;
+		duties.tryCall('term lease', () => {
+			this.#link?.close();
+			this.#link = undefined;
+			this.dependencies.instanceWatcher.setPolling(true);
+			this.dependencies.configurationWatcher.setPolling(true);
+			this.dependencies.terms.renewLease(this.dependencies.terms.getClockReading());
+		});
+		this.#handleOwnHeartbeatIfDue(now);
 		tasks.tryCall('heartbeat', () => {
-			this.#handleOwnHeartbeatIfDue(now);
 			this.#pushReportsIfDue();
 		});
 		tasks.run('coordinator lease', async () => coordinatorLease.renewIfDue());
@@ -293,21 +302,45 @@
 				this.#offerHandOverIfDue(now);
 			}
 		});
-		tasks.tryCall('promotion', () => {
+		duties.tryCall('promotion', () => {
 			promoter.checkGroups();
 		});
 		tasks.tryCall('registration', () => {
 			registrar.checkIfDue();
 		});
+		tasks.tryCall('membership', () => {
+			this.#resignIfFailing();
+		});
+	}
+
+	/** Resigns as the coordinator when one of its duties fails each time, so that another VM does it; a VM that is alone goes on. */
+	#resignIfFailing(): void {
+		const {
+			tasks, duties, coordinatorLease, coordinator, instanceWatcher, configurationWatcher, registrar, storeRecovery, log, metrics,
+		} = this.dependencies;
+		duties.updateCounts('instance watch', {failures: tasks.countFailures('instance watch'), successes: instanceWatcher.readCount});
+		duties.updateCounts('configuration watch', {failures: tasks.countFailures('configuration watch'), successes: configurationWatcher.readCount});
+		duties.updateCounts('registration', {failures: tasks.countFailures('registration'), successes: registrar.checkCount});
+		duties.updateCounts('store recovery', {failures: tasks.countFailures('store recovery'), successes: storeRecovery.recoveredEra});
+		const failing = duties.findFailingDuty();
+		if (failing !== undefined && coordinator.memberCount > 1) {
+			log.logEvent('coordinator.failing', {...failing, failingMs: Math.round(failing.failingMs)});
+			metrics.addCount('coordinator_failing');
+			duties.recordResignation(failing.duty);
+			this.#storeMembership.deferCandidacy(failingVmDeferralMs);
+			tasks.run('coordinator lease', async () => coordinatorLease.release());
+		}
 	}
 
 	#handleOwnHeartbeatIfDue(now: number): void {
 		if (now - this.#heartbeatSentAt >= heartbeatIntervalMs) {
 			this.#heartbeatSentAt = now;
-			const report = this.dependencies.coordinator.handleHeartbeat(this.#heartbeatBuilder.createOwnHeartbeat(this.#instanceRevision), undefined);
-			this.dependencies.limiter.confirmUsageReport();
-			this.#applyReport(report);
-			this.dependencies.dispatcher.admission.applyReport(report, now);
+			this.dependencies.duties.tryCall('heartbeat', () => {
+				const report = this.dependencies.coordinator.handleHeartbeat(this.#heartbeatBuilder.createOwnHeartbeat(this.#instanceRevision), undefined);
+				this.dependencies.limiter.confirmUsageReport();
+				this.#applyReport(report);
+				this.dependencies.dispatcher.admission.applyReport(report, now);
+			});
 		}
 	}
 
@@ -402,9 +435,7 @@
 			}
 
 			case 'token-request': {
-				link.send(this.dependencies.coordinatorLease.isHeld()
-					? {kind: 'token-grant', sequence: message.sequence, grants: this.dependencies.coordinator.issueTokens(message.vm, message.wants)}
-					: {kind: 'not-coordinator', coordinator: this.#coordinatorHint ?? this.#coordinatorRow?.address});
+				this.#handleTokenRequest(link, message);
 				return;
 			}
 
@@ -445,6 +476,17 @@
 		}
 	}
 
+	#handleTokenRequest(link: PeerLink, {vm, sequence, wants}: TokenRequest): void {
+		if (!this.dependencies.coordinatorLease.isHeld()) {
+			link.send({kind: 'not-coordinator', coordinator: this.#coordinatorHint ?? this.#coordinatorRow?.address});
+			return;
+		}
+
+		this.dependencies.duties.run('tokens', () => {
+			link.send({kind: 'token-grant', sequence, grants: this.dependencies.coordinator.issueTokens(vm, wants)});
+		});
+	}
+
 	/** Passes a message on to the gateway; closes the link if this VM is none, as a former build does. */
 	#handleForwardingMessage(link: PeerLink, message: ForwardingMessage): void {
 		if (this.dependencies.forwarding === undefined) {
@@ -462,11 +504,13 @@
 			return;
 		}
 
-		const report = heartbeat.kind === 'heartbeat'
-			? this.dependencies.coordinator.handleHeartbeat(heartbeat, link)
-			: this.dependencies.coordinator.handleHeartbeatDelta(heartbeat, link);
-		link.send(report ?? {kind: 'heartbeat-request'});
-		this.dependencies.coordinator.pushConfigurationSources();
+		this.dependencies.duties.run('report', () => {
+			const report = heartbeat.kind === 'heartbeat'
+				? this.dependencies.coordinator.handleHeartbeat(heartbeat, link)
+				: this.dependencies.coordinator.handleHeartbeatDelta(heartbeat, link);
+			link.send(report ?? {kind: 'heartbeat-request'});
+			this.dependencies.coordinator.pushConfigurationSources();
+		});
 		if (heartbeat.configurationVersion > this.dependencies.configuration.version) {
 			this.#configurationReceiver.handleOffer(heartbeat.configurationTransfer?.offeredAt, link);
 		}
--- a/packages/gateway/src/coordination/index.ts
+++ b/packages/gateway/src/coordination/index.ts
@@ -9,6 +9,7 @@
 export * from './instance-feed.js';
 export * from './account-tokens.js';
 export * from './coordinator.js';
+export * from './duty-monitor.js';
 export * from './member-registrar.js';
 export * from './promoter.js';
 export * from './successor-promoter.js';
--- a/packages/gateway/src/coordination/member-registrar.ts
+++ b/packages/gateway/src/coordination/member-registrar.ts
@@ -32,9 +32,15 @@
 /** Keeps the member rows of the store in line with the VMs that the coordinator hears: registers connected ones and removes silent ones. */
 export class MemberRegistrar {
 	#checkedAt = Number.NEGATIVE_INFINITY;
+	#checkCount = 0;
 
 	constructor(private readonly dependencies: MemberRegistrarDependencies) {}
 
+	/** Number of checks that were completed. */
+	get checkCount(): number {
+		return this.#checkCount;
+	}
+
 	/** Checks the rows if that is due; only the coordinator may call this. */
 	checkIfDue(): void {
 		const {clock, coordinator} = this.dependencies;
@@ -61,6 +67,7 @@
 		coordinator.setRegisteredMembers(members);
 		await this.#registerConnected(members);
 		await this.#removeSilent(members);
+		this.#checkCount += 1;
 	}
 
 	async #registerConnected(rows: ReadonlyMap<string, MemberRow>): Promise<void> {
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -10,6 +10,7 @@
 import {type GroupTerm, type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
+import {type DutyMonitor} from './duty-monitor.js';
 import {parseSharedRows, type StoredTerm} from './shared-rows.js';
 import {
 	createRoles, findPrimary, type PromotedInstance, type SuccessorPromoter,
@@ -69,6 +70,7 @@
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
 	readonly tasks: BackgroundTasks;
+	readonly duties: DutyMonitor;
 };
 
 /** Ensures that each group has one primary; promotes a successor only when no VM uses the former primary any more. */
@@ -122,25 +124,10 @@
 	async #checkGroup(group: string, dueHandOvers: ReadonlySet<string>): Promise<void> {
 		this.#groupsInProgress.add(group);
 		try {
-			const term = this.dependencies.terms.getTerm(group);
-			if (term === undefined) {
-				if (await this.#recordInitialPrimary(group) === undefined) {
-					await delay(retryDelayMs);
-				}
-
-				return;
-			}
-
-			const reason = this.#findPromotionReason(term, dueHandOvers);
-			if (reason !== undefined && !await this.#isRefuted(term, reason)) {
-				this.#runningReplacements += 1;
-				try {
-					await this.#replacePrimary(term, reason);
-				} finally {
-					this.#runningReplacements -= 1;
-				}
-			}
+			await this.#ensurePrimary(group, dueHandOvers);
+			this.dependencies.duties.recordSuccess(getGroupDuty(group));
 		} catch (error) {
+			this.dependencies.duties.recordFailure(getGroupDuty(group));
 			this.dependencies.log.logEvent('promotion.error', {group, error: error instanceof Error ? error.stack ?? error.message : String(error)});
 			await delay(retryDelayMs);
 		} finally {
@@ -148,6 +135,27 @@
 		}
 	}
 
+	async #ensurePrimary(group: string, dueHandOvers: ReadonlySet<string>): Promise<void> {
+		const term = this.dependencies.terms.getTerm(group);
+		if (term === undefined) {
+			if (await this.#recordInitialPrimary(group) === undefined) {
+				await delay(retryDelayMs);
+			}
+
+			return;
+		}
+
+		const reason = this.#findPromotionReason(term, dueHandOvers);
+		if (reason !== undefined && !await this.#isRefuted(term, reason)) {
+			this.#runningReplacements += 1;
+			try {
+				await this.#replacePrimary(term, reason);
+			} finally {
+				this.#runningReplacements -= 1;
+			}
+		}
+	}
+
 	#findPromotionReason(term: GroupTerm, dueHandOvers: ReadonlySet<string>): PromotionReason | undefined {
 		if (term.phase === 'closing') {
 			return 'resumed';
@@ -283,6 +291,11 @@
 	}
 }
 
+/** Returns the name under which failures of the check of a group count. */
+function getGroupDuty(group: string): string {
+	return `promotion ${group}`;
+}
+
 async function delay(ms: number): Promise<void> {
 	await new Promise(resolve => {
 		setTimeout(resolve, ms);
--- a/packages/gateway/src/coordination/store-membership.ts
+++ b/packages/gateway/src/coordination/store-membership.ts
@@ -29,6 +29,9 @@
 /** Maximum delay before a VM acquires a vacant lease, in milliseconds: for a VM without any capacity; one at full capacity does not wait. */
 const maxElectionDelayMs = 1000;
 
+/** Additional delay before a VM whose duties as the coordinator failed acquires a vacant lease, in milliseconds: the others have learned of the vacancy by then. */
+const deferredElectionDelayMs = 3000;
+
 /** Timeout of a call to the store, in milliseconds. */
 const callTimeoutMs = 800;
 
@@ -71,6 +74,9 @@
 	/** Monotonic time before which this VM does not acquire the lease, in milliseconds. */
 	#ineligibleUntil = 0;
 
+	/** Monotonic time before which this VM acquires the lease only if no other VM does, in milliseconds. */
+	#deferredUntil = Number.NEGATIVE_INFINITY;
+
 	constructor(private readonly dependencies: StoreMembershipDependencies, private readonly handlers: StoreMembershipHandlers) {
 		this.#startedAt = dependencies.clock.now();
 	}
@@ -82,6 +88,11 @@
 
 	/** Reads the rows if that is due; the first time also when a coordinator may answer. */
 	pollIfDue(isCoordinatorSilent: boolean): void {
+		if (!isCoordinatorSilent && this.#isDeferred()) {
+			// A vacancy that this VM has seen before has ended.
+			this.#vacantSince = undefined;
+		}
+
 		const isFirstPoll = this.#polledAt === Number.NEGATIVE_INFINITY;
 		if ((isCoordinatorSilent || isFirstPoll) && !this.#isPolling && this.dependencies.clock.now() - this.#polledAt > this.#pollDelayMs) {
 			this.dependencies.tasks.run('shared rows', async () => this.#poll());
@@ -93,6 +104,12 @@
 		this.#ineligibleUntil = this.dependencies.clock.now() + durationMs;
 	}
 
+	/** Lets this VM acquire the lease only if no other VM does, for a while. */
+	deferCandidacy(durationMs: number): void {
+		this.#deferredUntil = this.dependencies.clock.now() + durationMs;
+		this.#vacantSince = undefined;
+	}
+
 	/** Keeps this VM from acquiring the lease for good. */
 	beginLeaving(): void {
 		this.#isLeaving = true;
@@ -100,11 +117,11 @@
 
 	/**
 	 * Reads the rows after an offer of the coordinator role.
-	 * @returns The state; undefined if the store does not answer, or this VM is not registered or is leaving.
+	 * @returns The state; undefined if the store does not answer, or this VM is not registered, is leaving or leaves the role to others.
 	 */
 	async readForOffer(timeoutMs: number): Promise<SharedState | undefined> {
 		const result = await this.dependencies.store.readSharedRows(timeoutMs);
-		if (result.kind === 'failed' || this.#isLeaving) {
+		if (result.kind === 'failed' || this.#isLeaving || this.#isDeferred()) {
 			return undefined;
 		}
 
@@ -221,7 +238,11 @@
 	#hasElectionDelayPassed(): boolean {
 		const now = this.dependencies.clock.now();
 		this.#vacantSince ??= now;
-		return now - this.#vacantSince >= (1 - this.dependencies.getSettings().capacity) * maxElectionDelayMs;
+		return now - this.#vacantSince >= ((1 - this.dependencies.getSettings().capacity) * maxElectionDelayMs) + (this.#isDeferred() ? deferredElectionDelayMs : 0);
+	}
+
+	#isDeferred(): boolean {
+		return this.dependencies.clock.now() < this.#deferredUntil;
 	}
 
 	/** Returns the time until the next read, if no coordinator answers, in milliseconds. */
--- a/packages/gateway/src/coordination/store-recovery.ts
+++ b/packages/gateway/src/coordination/store-recovery.ts
@@ -27,6 +27,11 @@
 
 	constructor(private readonly dependencies: StoreRecoveryDependencies) {}
 
+	/** Latest era of the store into which the terms were written; 0 if there is none. */
+	get recoveredEra(): number {
+		return this.#recoveredEra;
+	}
+
 	/** Writes the terms into the store's present era if that has not been done; only the coordinator may call this. */
 	async recoverIfNeeded(): Promise<void> {
 		const {store, coordinatorLease} = this.dependencies;
--- a/packages/gateway/src/instances/instance-watcher.ts
+++ b/packages/gateway/src/instances/instance-watcher.ts
@@ -29,6 +29,7 @@
 	/** Ends the current wait between reads. */
 	#wake: (() => void) | undefined;
 
+	#readCount = 0;
 	readonly #backoff: Backoff;
 
 	/** @param random - Returns numbers from 0 (inclusive) to 1 (exclusive). */
@@ -42,6 +43,11 @@
 		this.#backoff = new Backoff(initialBackoffMs, maxBackoffMs, random);
 	}
 
+	/** Number of lists that were read from the store and applied. */
+	get readCount(): number {
+		return this.#readCount;
+	}
+
 	/** Whether polling was stopped. */
 	get isStopped(): boolean {
 		return this.#isStopped;
@@ -98,6 +104,7 @@
 		this.#backoff.reset();
 		this.#recordStoreAvailability(true, '');
 		this.registry.setInstances(now < this.#outageEndedAt + expiryGraceMs ? this.#addLostEntries(result.value) : result.value, now);
+		this.#readCount += 1;
 		return true;
 	}
 
--- a/packages/gateway/src/tasks/background-tasks.ts
+++ b/packages/gateway/src/tasks/background-tasks.ts
@@ -16,6 +16,8 @@
 	/** Monotonic times at which errors were last logged, by task, in milliseconds. */
 	readonly #loggedAt = new Map<string, number>();
 
+	readonly #failureCounts = new Map<string, number>();
+
 	constructor(private readonly log: EventLog, private readonly metrics: GatewayMetrics, private readonly clock: Clock) {}
 
 	/** Starts an operation that nothing awaits. */
@@ -51,6 +53,7 @@
 	/** Counts an error of a task, and logs it unless an error of that task was logged just before. */
 	recordFailure(task: string, error: unknown): void {
 		this.metrics.addCount('task_failed');
+		this.#failureCounts.set(task, this.countFailures(task) + 1);
 		const now = this.clock.now();
 		if (now - (this.#loggedAt.get(task) ?? Number.NEGATIVE_INFINITY) >= logIntervalMs) {
 			this.#loggedAt.set(task, now);
@@ -58,6 +61,11 @@
 		}
 	}
 
+	/** Returns the number of errors of a task so far. */
+	countFailures(task: string): number {
+		return this.#failureCounts.get(task) ?? 0;
+	}
+
 	async #runUntilStopped(task: string, operation: () => Promise<unknown>, isStopped: () => boolean): Promise<void> {
 		for (let delayMs = initialRestartDelayMs; !isStopped() && !await this.#runOnce(task, operation); delayMs = Math.min(maxRestartDelayMs, delayMs * 2)) {
 			await delay(delayMs);
--- a/packages/gateway/src/tests/tasks/failing-dependencies.test.ts
+++ b/packages/gateway/src/tests/tasks/failing-dependencies.test.ts
@@ -2,11 +2,12 @@
 import test, {type ExecutionContext} from 'ava';
 import {type GatewayConfiguration} from '../../configuration/index.js';
 import {
-	type CallerAnswer, type ConnectResult, type InstanceConnection, type PeerHandlers, type PeerLink,
+	type CallerAnswer, type ConnectResult, type InstanceConnection, type PeerLink,
 } from '../../ports/index.js';
 import {type CallerSession} from '../../sessions/index.js';
 import {type Statement} from '../../statements/index.js';
 import {createGateway, type GatewayPorts, type WiredGateway} from '../../wiring/index.js';
+import {createErrorClosingNetwork} from '../fakes/error-closing-network.js';
 import {type CallFailure, FailingCalls} from '../fakes/failing-calls.js';
 import {createRandom} from '../fakes/seeded-random.js';
 import {createConfiguration, statements, TestCluster} from '../fakes/test-cluster.js';
@@ -58,24 +59,6 @@
 	};
 }
 
-/** Closes a link whose message handler fails, as the TCP network does. */
-function closeAfterError({onMessage, onClosed}: PeerHandlers, getLink: () => PeerLink): PeerHandlers {
-	return {
-		onMessage(message) {
-			try {
-				onMessage(message);
-			} catch (error) {
-				if (!String(error).includes('planned')) {
-					throw error;
-				}
-
-				getLink().close();
-			}
-		},
-		onClosed,
-	};
-}
-
 const portChanges = {
 	'connections cannot be opened': (ports: GatewayPorts, calls: FailingCalls) => ({...ports, connector: {open: calls.wrapAsync(async (instance, account, timeoutMs) => ports.connector.open(instance, account, timeoutMs))}}),
 	'statements, their answers or the closing of connections fail': (ports: GatewayPorts, calls: FailingCalls) => ({
@@ -122,15 +105,7 @@
 			},
 		},
 	}),
-	'steps of a gateway fail': ({network, ...ports}: GatewayPorts) => ({
-		...ports, network: {
-			connect(address, handlers) {
-				const link: PeerLink = network.connect(address, closeAfterError(handlers, () => link));
-				return link;
-			},
-			listen: async (address, accept) => network.listen(address, link => closeAfterError(accept(link), () => link)),
-		},
-	}),
+	'steps of a gateway fail': ({network, ...ports}: GatewayPorts) => ({...ports, network: createErrorClosingNetwork(network)}),
 	'random numbers fail'(ports: GatewayPorts, calls: FailingCalls) {
 		Math.random = calls.wrapFunction(createRandom(1));
 		return ports;
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -1,7 +1,7 @@
 import {TransactionReservation} from '@chicorysaddle/decisions';
 import {ConfigurationWatcher, ConfigurationView} from '../configuration/index.js';
 import {
-	ClusterMember, ConfigurationAssigner, Coordinator, CoordinatorLease, type GatewayIdentity, MemberRegistrar, Promoter, StoreRecovery, SuccessorPromoter, TermWriter,
+	ClusterMember, ConfigurationAssigner, Coordinator, CoordinatorLease, DutyMonitor, type GatewayIdentity, MemberRegistrar, Promoter, StoreRecovery, SuccessorPromoter, TermWriter,
 } from '../coordination/index.js';
 import {Dispatcher, NetworkDistance} from '../dispatch/index.js';
 import {EvacuationMonitor, EvacuationRegistry, InstanceGuard} from '../evacuation/index.js';
@@ -115,8 +115,9 @@
 	const successorPromoter = new SuccessorPromoter({
 		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, groupSizes, guard, statusReader, termWriter, promotionService: createContainedPromotionService(promotion, tasks), clock, log,
 	});
+	const duties = new DutyMonitor(tasks, clock);
 	const promoter = new Promoter({
-		vm: identity.vm, coordinatorLease, coordinator, terms, instances, groupSizes, guard, configuration, dispatcher, store, statusReader, termWriter, successorPromoter, clock, log, metrics, tasks,
+		vm: identity.vm, coordinatorLease, coordinator, terms, instances, groupSizes, guard, configuration, dispatcher, store, statusReader, termWriter, successorPromoter, clock, log, metrics, tasks, duties,
 	});
 	const registrar = new MemberRegistrar({
 		coordinatorLease, coordinator, store, clock, log, tasks,
@@ -125,7 +126,7 @@
 		coordinatorLease, coordinator, terms, store, log, metrics,
 	});
 	const member = new ClusterMember({
-		identity, coordinatorLease, coordinator, promoter, registrar, storeRecovery, terms, configuration, configurationWatcher, instances, evacuations, guard, instanceWatcher, dispatcher, limiter, store, network, clock, log, metrics, random: Math.random, getSettings, forwarding, tasks,
+		identity, coordinatorLease, coordinator, promoter, registrar, storeRecovery, terms, configuration, configurationWatcher, instances, evacuations, guard, instanceWatcher, dispatcher, limiter, store, network, clock, log, metrics, random: Math.random, getSettings, forwarding, tasks, duties,
 	});
 	const sessionDependencies: SessionDependencies = {
 		configuration, dispatcher, limiter, transactionReservation: new TransactionReservation(), definitionBudget: createDefinitionBudget(), terms, clock, log, metrics, tasks, forwarding, surveyor: new PositionSurveyor({
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -149,6 +149,9 @@
 	'coordinator.slow': {
 		importance: 'state', scope: 'cluster', isPossibleCause: true, description: 'this VM responds too slowly to be the coordinator', fields: {lagMs: 'number'},
 	},
+	'coordinator.failing': {
+		importance: 'state', scope: 'cluster', isPossibleCause: true, description: 'this VM gives up the role of the coordinator, because one of its duties fails each time', fields: {duty: 'string', failures: 'number', failingMs: 'number'},
+	},
 	'member.registered': {
 		importance: 'state', scope: 'vm', isPossibleCause: false, description: 'the row of this VM was written to the store', fields: {version: 'number'},
 	},
