Coordinator: an unreadable row of the lease is replaced once its holder's time is over

Operators saw (by reading so far): a coordinator's row that another writer had overwritten counted as absent, so that each VM tried to create it, on condition that it is absent, and failed for good: never a coordinator again, and no primary after the next failure.

Cause: the decoder left the row out and dropped its version.

Change: parseSharedRows returns the version of an unreadable row. It is vacant only when that version has not changed for the duration of a lease and its margin, as the row of a silent holder, since the writer may be a coordinator that this build cannot read. Its version is the condition of the write that replaces it. A holder whose row was overwritten ends its lease at its next renewal and logs why.

Fencing token: above the highest that this process knows, and above the start of the store's era plus the version of the unreadable row. Each token that was used in an era took a write of the row, and each write of the store has a version of its own, so no more tokens can have been used than versions were given; the new row keeps that property. What cannot be known: tokens of a writer that does not count by one; and, once a token has been taken from a version beyond 1,000,000, whether tokens of a later era start above it, if the store loses the row and every VM ends as well (a VM that runs knows the highest).

--- a/packages/gateway/src/coordination/coordinator-lease.ts
+++ b/packages/gateway/src/coordination/coordinator-lease.ts
@@ -1,7 +1,7 @@
 import {DualClockLease, type ClockReading} from '@chicorysaddle/decisions';
 import {type EventLog} from '../observability/index.js';
 import {
-	type Clock, type CoordinationStore, getEra, type SharedRow, type SharedRowWrite, type StoreVersion,
+	type Clock, type CoordinationStore, getEra, getVersionInEra, type SharedRow, type SharedRowWrite, type StoreVersion,
 } from '../ports/index.js';
 import {type GatewayIdentity} from './gateway-identity.js';
 import {
@@ -112,8 +112,17 @@
 		this.#highestToken = Math.max(this.#highestToken, token);
 	}
 
-	/** Returns whether this VM may acquire the lease: it is released, expired, or held by an earlier process of this VM. */
-	isVacant(row: CoordinatorRow | undefined): boolean {
+	/**
+	 * Returns whether this VM may acquire the lease: it is released, expired, or held by an earlier process of this VM.
+	 * @param unreadableVersion - Version of a row that cannot be read, so that its holder is not known.
+	 */
+	isVacant(row: CoordinatorRow | undefined, unreadableVersion?: StoreVersion): boolean {
+		if (row === undefined && unreadableVersion !== undefined) {
+			this.#absentSince = undefined;
+			this.recordVersion(unreadableVersion);
+			return this.#isExpired(unreadableVersion);
+		}
+
 		if (row === undefined) {
 			// A store that was restored may have lost the row, while its holder still acts.
 			this.#absentSince ??= this.clock.now();
@@ -129,7 +138,7 @@
 			return true;
 		}
 
-		return this.isHeldByPredecessor(row) || (this.#observedVersion!.version === row.version && this.clock.now() - this.#observedVersion!.at > leaseDurationMs + takeOverMarginMs);
+		return this.isHeldByPredecessor(row) || this.#isExpired(row.version);
 	}
 
 	/** Returns whether the row names an earlier process of this VM, so that no other VM may acquire the lease before it expires. */
@@ -137,16 +146,19 @@
 		return row !== undefined && !isRestored(row) && row.holder === this.identity.vm && row.incarnation !== this.identity.incarnation;
 	}
 
-	/** Tries to acquire the lease with the next fencing token; returns whether it succeeded. */
-	async tryAcquire(row: CoordinatorRow | undefined): Promise<boolean> {
+	/**
+	 * Tries to acquire the lease with the next fencing token; returns whether it succeeded.
+	 * @param unreadableVersion - Version of a row that cannot be read, which is replaced.
+	 */
+	async tryAcquire(row: CoordinatorRow | undefined, unreadableVersion: StoreVersion = 0): Promise<boolean> {
 		const content = {
-			holder: this.identity.vm, incarnation: this.identity.incarnation, address: this.identity.peerAddress, token: this.#getNextToken(row), era: this.#getRowEra(),
+			holder: this.identity.vm, incarnation: this.identity.incarnation, address: this.identity.peerAddress, token: this.#getNextToken(row, unreadableVersion), era: this.#getRowEra(),
 		};
 		const at = this.#getClockReading();
 		// Any attempt with the same token may be the one that the store performed.
 		this.#attempt = this.#attempt?.token === content.token ? this.#attempt : {token: content.token, at};
 		const transitionCount = this.#transitionCount;
-		const result = await this.store.writeSharedRows([{key: coordinatorKey, expectedVersion: row?.version ?? 0, value: JSON.stringify(content)}], callTimeoutMs);
+		const result = await this.store.writeSharedRows([{key: coordinatorKey, expectedVersion: row?.version ?? unreadableVersion, value: JSON.stringify(content)}], callTimeoutMs);
 		// A late response is ignored if the lease was resumed from the row in the meantime, even if it has ended since.
 		if (result.kind === 'failed' || !result.value.isApplied || transitionCount !== this.#transitionCount) {
 			return false;
@@ -258,7 +270,7 @@
 		}
 
 		const state = parseSharedRows(result.value, this.log);
-		const isHeld = await this.#reconcileHeldRow(held, state.coordinator);
+		const isHeld = await this.#reconcileHeldRow(held, state);
 		for (const listener of this.#readBackListeners) {
 			listener(state);
 		}
@@ -267,14 +279,14 @@
 	}
 
 	/** Brings the held row in line with the row in the store; returns whether this VM still holds the lease, and ends it here otherwise. */
-	async #reconcileHeldRow(held: CoordinatorRow, currentRow: CoordinatorRow | undefined): Promise<boolean> {
+	async #reconcileHeldRow(held: CoordinatorRow, {coordinator: currentRow, unreadable}: SharedState): Promise<boolean> {
 		if (this.isHeld() && this.store.era > getEra(held.version) && (currentRow?.token ?? 0) <= held.token) {
 			// The store lost the row or its renewals; while the lease lasts, no other VM can have acquired it.
-			return this.#rewriteRow(held, currentRow);
+			return this.#rewriteRow(held, currentRow?.version ?? unreadable.coordinator ?? 0);
 		}
 
 		if (currentRow?.incarnation !== this.identity.incarnation || currentRow.token !== held.token) {
-			this.end('another VM holds it');
+			this.end(currentRow === undefined && unreadable.coordinator !== undefined ? 'its row is unreadable' : 'another VM holds it');
 			return false;
 		}
 
@@ -286,10 +298,10 @@
 	}
 
 	/** Writes the row again after the store returned from an older copy; returns whether that succeeded. */
-	async #rewriteRow(held: CoordinatorRow, currentRow: CoordinatorRow | undefined): Promise<boolean> {
+	async #rewriteRow(held: CoordinatorRow, currentVersion: StoreVersion): Promise<boolean> {
 		const at = this.#getClockReading();
 		const {version, ...content} = {...held, era: this.#getRowEra()};
-		const result = await this.store.writeSharedRows([{key: coordinatorKey, expectedVersion: currentRow?.version ?? 0, value: JSON.stringify(content)}], callTimeoutMs);
+		const result = await this.store.writeSharedRows([{key: coordinatorKey, expectedVersion: currentVersion, value: JSON.stringify(content)}], callTimeoutMs);
 		if (result.kind === 'failed' || !result.value.isApplied) {
 			return false;
 		}
@@ -299,8 +311,15 @@
 		return true;
 	}
 
-	#getNextToken(row: CoordinatorRow | undefined): number {
-		return Math.max(row?.token ?? 0, this.#highestToken, this.store.era * tokensPerEra) + 1;
+	/** Returns whether a version of the row has been the newest for so long that the lease of its writer has ended. */
+	#isExpired(version: StoreVersion): boolean {
+		return this.#observedVersion!.version === version && this.clock.now() - this.#observedVersion!.at > leaseDurationMs + takeOverMarginMs;
+	}
+
+	#getNextToken(row: CoordinatorRow | undefined, unreadableVersion: StoreVersion): number {
+		// Each token in an era took a write of the row, and each write a version of its own.
+		const maxUsedCount = row === undefined ? getVersionInEra(unreadableVersion) : 0;
+		return Math.max(row?.token ?? 0, this.#highestToken, (this.store.era * tokensPerEra) + maxUsedCount) + 1;
 	}
 
 	/** Returns the era for a row that is written now; undefined in era 0, so that the row reads as a former build writes it. */
--- a/packages/gateway/src/coordination/shared-rows.ts
+++ b/packages/gateway/src/coordination/shared-rows.ts
@@ -62,6 +62,11 @@
 /** Maximum number of rows that are written with one call beside the row of the coordinator's lease; the store accepts about twice as many entries. */
 export const maxRowsPerWrite = 45;
 
+/** Versions of rows that cannot be read: each can be replaced on condition that it is still at its version. */
+export type UnreadableRows = {
+	readonly coordinator: StoreVersion | undefined;
+};
+
 /** Content of all shared rows, from a single read. */
 export type SharedState = {
 	readonly coordinator: CoordinatorRow | undefined;
@@ -70,6 +75,7 @@
 	readonly terms: ReadonlyMap<string, StoredTerm>;
 	/** Terms from an older copy of the store: later ones may have been lost. */
 	readonly restoredTerms: ReadonlyMap<string, GroupTerm>;
+	readonly unreadable: UnreadableRows;
 };
 
 /** Returns whether a row was written in an earlier era of the store than the one it was read in. */
@@ -115,9 +121,10 @@
 	};
 }
 
-/** Parses the shared rows; rows that cannot be parsed are logged and omitted. */
+/** Parses the shared rows; of rows that cannot be parsed, which are logged, only the versions are returned. */
 export function parseSharedRows(rows: readonly SharedRow[], log: EventLog): SharedState {
 	let coordinator: CoordinatorRow | undefined;
+	let unreadableCoordinator: StoreVersion | undefined;
 	const members = new Map<string, MemberRow>();
 	const terms = new Map<string, StoredTerm>();
 	const restoredTerms = new Map<string, GroupTerm>();
@@ -125,7 +132,11 @@
 		const value = parseValue(row);
 		if (row.key === coordinatorKey) {
 			const content = decodeRow(coordinatorCodec, row, value, log);
-			coordinator = content === undefined ? coordinator : {...content, version: row.version};
+			if (content === undefined) {
+				unreadableCoordinator = row.version;
+			} else {
+				coordinator = {...content, version: row.version};
+			}
 		} else if (isNamed(row.key, memberKeyPrefix)) {
 			const vm = row.key.slice(memberKeyPrefix.length);
 			const content = decodeRow(memberCodec, row, value, log);
@@ -149,7 +160,7 @@
 	}
 
 	return {
-		coordinator, members, terms, restoredTerms,
+		coordinator, members, terms, restoredTerms, unreadable: {coordinator: unreadableCoordinator},
 	};
 }
 
--- a/packages/gateway/src/coordination/store-membership.ts
+++ b/packages/gateway/src/coordination/store-membership.ts
@@ -8,7 +8,7 @@
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {type GatewayIdentity} from './gateway-identity.js';
 import {
-	type CoordinatorRow, createMemberWrite, getMemberKey, parseSharedRows, type SharedState,
+	createMemberWrite, getMemberKey, parseSharedRows, type SharedState,
 } from './shared-rows.js';
 
 /** Interval between reads while this VM has no term lease, in milliseconds. */
@@ -192,24 +192,25 @@
 		const {coordinatorLease} = this.dependencies;
 		this.#recordRegistration(state);
 		this.applyTerms(state, at);
-		this.#vacantSince = coordinatorLease.isVacant(state.coordinator) ? this.#vacantSince : undefined;
+		this.#vacantSince = coordinatorLease.isVacant(state.coordinator, state.unreadable.coordinator) ? this.#vacantSince : undefined;
 		if (state.coordinator !== undefined) {
 			coordinatorLease.resume(state.coordinator);
 		}
 
 		this.handlers.onRead(state, at);
-		if (this.#registeredVersion !== undefined && this.#canAcquireLease(state.coordinator) && await coordinatorLease.tryAcquire(state.coordinator)) {
+		if (this.#registeredVersion !== undefined && this.#canAcquireLease(state) && await coordinatorLease.tryAcquire(state.coordinator, state.unreadable.coordinator)) {
 			this.handlers.onLeaseAcquired(state);
 		}
 	}
 
 	/** Registers this VM if its row is missing, unless the coordinator may still answer and do it; returns whether it wrote the row. */
-	async #registerIfDue({members, coordinator}: SharedState): Promise<boolean> {
+	async #registerIfDue(state: SharedState): Promise<boolean> {
+		const {members, coordinator} = state;
 		const {identity: {vm, peerAddress, zone, incarnation}, store, log} = this.dependencies;
 		// Without a coordinator's row all VMs are starting for the first time.
 		this.#startupWaitMs = coordinator === undefined ? maxStartupWaitMs : Math.min(this.#startupWaitMs, members.size * startupWaitPerVmMs);
 		const row = members.get(vm);
-		if (row?.incarnation === incarnation || !(this.isStartupOver || this.#canAcquireLease(coordinator))) {
+		if (row?.incarnation === incarnation || !(this.isStartupOver || this.#canAcquireLease(state))) {
 			return false;
 		}
 
@@ -229,9 +230,9 @@
 		this.#registeredVersion = row?.incarnation === incarnation ? row.version : undefined;
 	}
 
-	#canAcquireLease(row: CoordinatorRow | undefined): boolean {
+	#canAcquireLease({coordinator: row, unreadable}: SharedState): boolean {
 		const {coordinatorLease, clock} = this.dependencies;
-		return !this.#isLeaving && clock.now() >= this.#ineligibleUntil && !coordinatorLease.isHeld() && coordinatorLease.isVacant(row) && (coordinatorLease.isHeldByPredecessor(row) || this.#hasElectionDelayPassed());
+		return !this.#isLeaving && clock.now() >= this.#ineligibleUntil && !coordinatorLease.isHeld() && coordinatorLease.isVacant(row, unreadable.coordinator) && (coordinatorLease.isHeldByPredecessor(row) || this.#hasElectionDelayPassed());
 	}
 
 	/** Returns whether this VM has waited long enough to acquire the vacant lease; VMs with more capacity wait less, since the coordinator serves all others. */
