Terms: a group whose row is unreadable counts as one without a record, not as a new one

Operators saw (by reading so far): a term row that another writer had overwritten counted as absent. The coordinator's writes, on condition that the row is at its former version or absent, failed for good: a failed primary was never replaced, after a start of all VMs the group never got one, and after a restore of the store no term of any group was written again. A VM that read the rows itself went on with the primary that it knew, although the row may have named another.

Cause: the decoder left the row out and dropped its version.

Change: parseSharedRows returns the versions of unreadable term rows. A VM that reads one newer than the term it knows takes this term as closing at that version. The coordinator replaces the row, on condition of its version, by that of a closing term without a record; so a change of primary is resumed as an incomplete one: once the term has closed, the primary of the newest term if all instances answer, else another promotion. Where it knows no term it states the newest one that an instance has, also if no primary answers, which a new group would wait for. The recovery after a restore uses the version too, and closes such a term even if the coordinator has continued.

Evidence: tests/coordination/unreadable-term-row, virtual time. On the former code all 9 fail: not served within 8 s after the primary crashed (four values), or within 18 s after all VMs started again (three tests), 'db-1' still usable at a VM that had read the row, and the row still unreadable 3 s after a restore. With the change all pass; the former primary has no commit in its former term.

Not covered: on a VM of a former build, which takes the row for absent until the coordinator has replaced it. A healthy group is closed and opened again once when the coordinator meets such a row.

--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -29,6 +29,7 @@
 } from './shared-rows.js';
 import {StoreMembership} from './store-membership.js';
 import {type StoreRecovery} from './store-recovery.js';
+import {type TermWriter} from './term-writer.js';
 import {TokenClient} from './token-client.js';
 
 /** Interval of the main loop, in milliseconds. */
@@ -80,6 +81,7 @@
 	readonly coordinator: Coordinator;
 	readonly promoter: Promoter;
 	readonly registrar: MemberRegistrar;
+	readonly termWriter: TermWriter;
 	readonly storeRecovery: StoreRecovery;
 	readonly terms: TermRegistry;
 	readonly configuration: ConfigurationView;
@@ -560,8 +562,9 @@
 		}
 	}
 
-	#beginCoordinating({members}: SharedState): void {
-		this.dependencies.coordinator.setRegisteredMembers(members);
+	#beginCoordinating(state: SharedState): void {
+		this.dependencies.coordinator.setRegisteredMembers(state.members);
+		this.dependencies.termWriter.recordUnreadable(state);
 		this.#publishInstances();
 		// VMs that took this one for the coordinator already need not wait for their next heartbeat.
 		for (const link of this.#expectantLinks) {
@@ -727,7 +730,9 @@
 		}
 	}
 
-	#handleSharedState({members, coordinator}: SharedState): void {
+	#handleSharedState(state: SharedState): void {
+		const {members, coordinator} = state;
+		this.dependencies.termWriter.recordUnreadable(state);
 		this.dependencies.limiter.setMemberCount(members.size);
 		this.dependencies.dispatcher.setMemberCount(members.size);
 		this.#coordinatorRow = coordinator;
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -4,14 +4,14 @@
 import {type InstanceGuard} from '../evacuation/index.js';
 import {type GroupSizes, type Instance, type InstanceRegistry} from '../instances/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
-import {type Clock, type CoordinationStore} from '../ports/index.js';
+import {type Clock, type CoordinationStore, type StoreVersion} from '../ports/index.js';
 import {type InstanceStatusReader, type InstanceWithStatus} from '../positions/index.js';
 import {type BackgroundTasks} from '../tasks/index.js';
 import {type GroupTerm, type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {type DutyMonitor} from './duty-monitor.js';
-import {parseSharedRows, type StoredTerm} from './shared-rows.js';
+import {noPrimaryId, parseSharedRows, type StoredTerm} from './shared-rows.js';
 import {
 	createRoles, findPrimary, type PromotedInstance, type SuccessorPromoter,
 } from './successor-promoter.js';
@@ -205,6 +205,11 @@
 	async #recordInitialPrimary(group: string): Promise<StoredTerm | undefined> {
 		const instances = this.dependencies.instances.getGroupInstances(group);
 		const readings = await this.dependencies.statusReader.readStatuses(instances);
+		const unreadableVersion = this.dependencies.termWriter.getUnreadableVersion(group);
+		if (unreadableVersion !== undefined) {
+			return this.#replaceUnreadableRow(group, unreadableVersion, readings);
+		}
+
 		const primary = findPrimary(readings);
 		// An instance of an evacuated zone cannot be asked; once it is recorded as the primary, another one replaces it.
 		const evacuated = instances.find(instance => instance.reportedRole === 'primary' && this.dependencies.guard.isCutOff(instance));
@@ -227,7 +232,19 @@
 
 		// The store may have lost a row: an instance that does not answer may lead a later term.
 		this.#incompleteSince.set(group, incompleteSince);
-		return isRegistrationOver ? termWriter.createClosedTerm(group, content) : undefined;
+		return isRegistrationOver ? termWriter.createClosedTerm(group, content, 0) : undefined;
+	}
+
+	/** Replaces a row that cannot be read, of a group whose term is not known, by that of a closing term without a record: another instance than those that answer may be the primary. */
+	async #replaceUnreadableRow(group: string, version: StoreVersion, readings: readonly InstanceWithStatus[]): Promise<StoredTerm | undefined> {
+		if (readings.length === 0) {
+			return undefined;
+		}
+
+		const term = Math.max(...readings.map(({status}) => status.term));
+		const primary = findPrimary(readings);
+		const primaryId = primary?.status.term === term ? primary.instance.id : noPrimaryId;
+		return this.dependencies.termWriter.createClosedTerm(group, {term, primaryId}, version);
 	}
 
 	async #replacePrimary(term: GroupTerm, reason: PromotionReason): Promise<void> {
--- a/packages/gateway/src/coordination/shared-rows.ts
+++ b/packages/gateway/src/coordination/shared-rows.ts
@@ -65,6 +65,8 @@
 /** Versions of rows that cannot be read: each can be replaced on condition that it is still at its version. */
 export type UnreadableRows = {
 	readonly coordinator: StoreVersion | undefined;
+	/** By group. */
+	readonly terms: ReadonlyMap<string, StoreVersion>;
 };
 
 /** Content of all shared rows, from a single read. */
@@ -125,6 +127,7 @@
 export function parseSharedRows(rows: readonly SharedRow[], log: EventLog): SharedState {
 	let coordinator: CoordinatorRow | undefined;
 	let unreadableCoordinator: StoreVersion | undefined;
+	const unreadableTerms = new Map<string, StoreVersion>();
 	const members = new Map<string, MemberRow>();
 	const terms = new Map<string, StoredTerm>();
 	const restoredTerms = new Map<string, GroupTerm>();
@@ -146,7 +149,9 @@
 		} else if (isNamed(row.key, termKeyPrefix)) {
 			const group = row.key.slice(termKeyPrefix.length);
 			const content = decodeRow(termCodec, row, value, log);
-			if (content !== undefined) {
+			if (content === undefined) {
+				unreadableTerms.set(group, row.version);
+			} else {
 				const {era, promotion, ...rest} = content;
 				const term = {...rest, group, revision: row.version};
 				if (isRestored({era, version: row.version})) {
@@ -160,10 +165,21 @@
 	}
 
 	return {
-		coordinator, members, terms, restoredTerms, unreadable: {coordinator: unreadableCoordinator},
+		coordinator, members, terms, restoredTerms, unreadable: {coordinator: unreadableCoordinator, terms: unreadableTerms},
 	};
 }
 
+/**
+ * Creates terms in place of rows that cannot be read and are newer than the known terms: they are closing, so that no VM uses a primary that may have been replaced.
+ * @param knownTerms - Known terms of all groups; nothing is created for a group without one.
+ */
+export function createUnreadableTerms({unreadable}: SharedState, knownTerms: readonly GroupTerm[]): GroupTerm[] {
+	const replaced = knownTerms.filter(({group, revision}) => (unreadable.terms.get(group) ?? 0) > revision);
+	return replaced.map(term => ({
+		...term, phase: 'closing', drainMs: 0, revision: unreadable.terms.get(term.group)!,
+	}));
+}
+
 /** Returns whether a key is a prefix and a name. */
 function isNamed(key: string, prefix: string): boolean {
 	return key.startsWith(prefix) && key.length > prefix.length;
--- a/packages/gateway/src/coordination/store-membership.ts
+++ b/packages/gateway/src/coordination/store-membership.ts
@@ -8,7 +8,7 @@
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {type GatewayIdentity} from './gateway-identity.js';
 import {
-	createMemberWrite, getMemberKey, parseSharedRows, type SharedState,
+	createMemberWrite, createUnreadableTerms, getMemberKey, parseSharedRows, type SharedState,
 } from './shared-rows.js';
 
 /** Interval between reads while this VM has no term lease, in milliseconds. */
@@ -137,6 +137,10 @@
 			terms.applyTerm(term);
 		}
 
+		for (const term of createUnreadableTerms(state, terms.getTerms())) {
+			terms.applyTerm(term);
+		}
+
 		// Of terms from an older copy of the store, later ones may have been lost.
 		const areTermsCurrent = state.restoredTerms.size === 0 && terms.getTerms().every(({revision}) => getEra(revision) === store.era);
 		// Only a registered VM may rely on the terms that it read, since the closing of a term waits for no others.
--- a/packages/gateway/src/coordination/store-recovery.ts
+++ b/packages/gateway/src/coordination/store-recovery.ts
@@ -56,12 +56,13 @@
 			return false;
 		}
 
-		const {terms: currentTerms, restoredTerms} = parseSharedRows(result.value, log);
+		const {terms: currentTerms, restoredTerms, unreadable} = parseSharedRows(result.value, log);
 		const isContinued = coordinatorLease.acquiredEra < era;
 		const groups = new Set([...terms.getTerms().map(term => term.group), ...restoredTerms.keys()]);
 		const rewritten = [...groups].filter(group => !currentTerms.has(group)).map(group => {
-			const content = isContinued ? terms.getTerm(group) ?? restoredTerms.get(group)! : createClosingTerm(terms.getTerm(group), restoredTerms.get(group));
-			return {...content, revision: restoredTerms.get(group)?.revision ?? 0};
+			// Another writer replaced the row, so what this VM knows may be outdated.
+			const content = isContinued && !unreadable.terms.has(group) ? terms.getTerm(group) ?? restoredTerms.get(group)! : createClosingTerm(terms.getTerm(group), restoredTerms.get(group));
+			return {...content, revision: restoredTerms.get(group)?.revision ?? unreadable.terms.get(group) ?? 0};
 		});
 		for (let start = 0; start < rewritten.length; start += maxRowsPerWrite) {
 			const batch = rewritten.slice(start, start + maxRowsPerWrite);
--- a/packages/gateway/src/coordination/term-writer.ts
+++ b/packages/gateway/src/coordination/term-writer.ts
@@ -1,11 +1,11 @@
 import {type PromotionOrder} from '@chicorysaddle/decisions';
 import {type EventLog} from '../observability/index.js';
-import {type CoordinationStore} from '../ports/index.js';
+import {type CoordinationStore, type StoreVersion} from '../ports/index.js';
 import {type GroupTerm, type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {
-	createTermWrite, getTermKey, noPrimaryId, parseSharedRows, type StoredTerm, type TermContent,
+	createTermWrite, createUnreadableTerms, getTermKey, noPrimaryId, parseSharedRows, type SharedState, type StoredTerm, type TermContent,
 } from './shared-rows.js';
 
 /** Timeout of a read of the rows, in milliseconds. */
@@ -24,16 +24,33 @@
 export class TermWriter {
 	/** Terms as they were in the store when this VM read or wrote their rows last. */
 	readonly #storedTerms = new Map<string, StoredTerm>();
+	/** Versions of rows that this VM could not read when it read the rows last, by group. */
+	#unreadableVersions: ReadonlyMap<string, StoreVersion> = new Map();
 
 	constructor(private readonly dependencies: TermWriterDependencies) {
-		dependencies.coordinatorLease.onReadBack(({terms}) => {
-			for (const term of terms.values()) {
+		dependencies.coordinatorLease.onReadBack(state => {
+			for (const term of state.terms.values()) {
 				this.#storedTerms.set(term.group, term);
 				this.#applyAndReport(term);
 			}
+
+			this.recordUnreadable(state);
+			for (const term of createUnreadableTerms(state, dependencies.terms.getTerms())) {
+				this.#applyAndReport(term);
+			}
 		});
 	}
 
+	/** Records which rows cannot be read. */
+	recordUnreadable({unreadable}: SharedState): void {
+		this.#unreadableVersions = unreadable.terms;
+	}
+
+	/** Returns the version of a group's row if it cannot be read, undefined otherwise. */
+	getUnreadableVersion(group: string): StoreVersion | undefined {
+		return this.#unreadableVersions.get(group);
+	}
+
 	/**
 	 * Opens a term and reports it to all VMs.
 	 * @param revision - Version that the row must have, 0 if it is absent.
@@ -45,9 +62,12 @@
 		});
 	}
 
-	/** Creates the row of a group as that of a closing term without a record of promotions, so that a resumed change finds out the primary. */
-	async createClosedTerm(group: string, {term, primaryId}: Pick<GroupTerm, 'term' | 'primaryId'>): Promise<StoredTerm | undefined> {
-		return this.#writeAndReport(group, 0, {
+	/**
+	 * Creates the row of a group as that of a closing term without a record of promotions, so that a resumed change finds out the primary.
+	 * @param revision - Version of a row that cannot be read, which is replaced; 0 if there is no row.
+	 */
+	async createClosedTerm(group: string, {term, primaryId}: Pick<GroupTerm, 'term' | 'primaryId'>, revision: StoreVersion): Promise<StoredTerm | undefined> {
+		return this.#writeAndReport(group, revision, {
 			term, primaryId, phase: 'closing', drainMs: 0,
 		});
 	}
@@ -64,10 +84,21 @@
 		});
 	}
 
-	/** Reads a closing term from the store, and reports it if it is newer than the known one; returns undefined if the read fails or the term is not closing. */
+	/** Reads a closing term from the store, and reports it if it is newer than the known one; replaces a row that cannot be read. Returns undefined if the read or the write fails or the term is not closing. */
 	async readClosingTerm(group: string): Promise<StoredTerm | undefined> {
 		const result = await this.dependencies.store.readSharedRows(readTimeoutMs);
-		const term = result.kind === 'ok' ? parseSharedRows(result.value, this.dependencies.log).terms.get(group) : undefined;
+		if (result.kind === 'failed') {
+			return undefined;
+		}
+
+		const {terms, unreadable} = parseSharedRows(result.value, this.dependencies.log);
+		const term = terms.get(group);
+		const unreadableVersion = unreadable.terms.get(group);
+		const known = this.dependencies.terms.getTerm(group);
+		if (unreadableVersion !== undefined && known !== undefined) {
+			return this.createClosedTerm(group, known, unreadableVersion);
+		}
+
 		if (term !== undefined) {
 			this.#applyAndReport(term);
 		}
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -126,7 +126,7 @@
 		coordinatorLease, coordinator, terms, store, log, metrics,
 	});
 	const member = new ClusterMember({
-		identity, coordinatorLease, coordinator, promoter, registrar, storeRecovery, terms, configuration, configurationWatcher, instances, evacuations, guard, instanceWatcher, dispatcher, limiter, store, network, clock, log, metrics, random: Math.random, getSettings, forwarding, tasks, duties,
+		identity, coordinatorLease, coordinator, promoter, registrar, termWriter, storeRecovery, terms, configuration, configurationWatcher, instances, evacuations, guard, instanceWatcher, dispatcher, limiter, store, network, clock, log, metrics, random: Math.random, getSettings, forwarding, tasks, duties,
 	});
 	const sessionDependencies: SessionDependencies = {
 		configuration, dispatcher, limiter, transactionReservation: new TransactionReservation(), definitionBudget: createDefinitionBudget(), terms, clock, log, metrics, tasks, forwarding, surveyor: new PositionSurveyor({
