Tests: the store refuses the first term of a group in unwritten-term, in place of an unreadable row

An unreadable row is replaced since "Terms: a group whose row is unreadable counts as one without a record", so it no longer makes the writes fail. The store of the test refuses the writes itself now; bound and duration are unchanged.

--- a/packages/gateway/src/tests/coordination/unwritten-term.test.ts
+++ b/packages/gateway/src/tests/coordination/unwritten-term.test.ts
@@ -10,20 +10,21 @@
 test.serial('a coordinator that fails to write the first term of a group tries again at intervals', async t => {
 	const cluster = new TestCluster(['vm1', 'vm2', 'vm3']);
 	const {store} = cluster;
-	// The write of another row at the expected version of an absent one is refused.
-	store.rows.set('group/db', {key: 'group/db', value: '', version: 1});
-	await cluster.start();
 	const write = store.write.bind(store);
 	let attempts = 0;
+	let isRefused = true;
 	store.write = writes => {
-		attempts += writes.some(({key}) => key === 'group/db') ? 1 : 0;
-		return write(writes);
+		const isTerm = writes.some(({key}) => key === 'group/db');
+		attempts += isTerm ? 1 : 0;
+		return isTerm && isRefused ? {isApplied: false, version: 0} : write(writes);
 	};
 
+	await cluster.start();
+	attempts = 0;
 	await cluster.time.advance(durationMs);
 	t.true(attempts > 0);
 	t.true(attempts <= durationMs / retryIntervalMs, `${attempts} attempts in ${durationMs} ms`);
-	store.rows.delete('group/db');
+	isRefused = false;
 	await cluster.time.advance(1000);
 	t.is(cluster.getTermRow().primaryId, 'db-1');
 	cluster.stop();
