Proxy: a full disk under the log does not end the daemon

What operators saw: chicorysaddled ends with exit code 1 at its first line, and after each restart again, while the file of its log has no space. Cause: as in the gateway, Roarr throws the errors of standard output but EPIPE. Change: its listener is replaced by one that ignores them.

--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -1,11 +1,13 @@
 import process from 'node:process';
 import sade from 'sade';
+import {handleOutputErrors} from './observability/index.js';
 import {formatSettingsReference, loadSettings, type Settings} from './settings/index.js';
 import {Proxy} from './wiring/index.js';
 
 const exitCodes = {success: 0, invalidSettings: 2} as const;
 
 async function runProxy(settings: Settings): Promise<void> {
+	handleOutputErrors();
 	const proxy = await Proxy.start(settings);
 	const drainAndExit = () => {
 		void proxy.drain().then(() => {
--- a/packages/proxy/src/observability/logger.ts
+++ b/packages/proxy/src/observability/logger.ts
@@ -6,6 +6,16 @@
 /** Structured fields of a log line. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** Ignores errors of standard output and standard error, such as that of a full disk: the process goes on without its log. It replaces the listener of Roarr, which throws all errors but EPIPE. */
+export function handleOutputErrors(): void {
+	ROARR.teardown?.();
+	for (const stream of [process.stdout, process.stderr]) {
+		stream.on('error', () => {
+			// The line is lost.
+		});
+	}
+}
+
 /** Writes JSON lines to standard output; needs `ROARR_LOG=true` in the environment before Roarr is loaded. */
 export class Logger {
 	readonly #roarr;
