--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -9,6 +9,9 @@
 async function runProxy(settings: Settings): Promise<void> {
 	handleOutputErrors();
 	const proxy = await Proxy.start(settings);
+	process.on('unhandledRejection', reason => {
+		proxy.logFailure(reason);
+	});
 	const drainAndExit = () => {
 		void proxy.drain().then(() => {
 			process.exit(exitCodes.success);
--- a/packages/proxy/src/wiring/proxy.ts
+++ b/packages/proxy/src/wiring/proxy.ts
@@ -70,6 +70,11 @@
 		return !this.#getService(Membership).isDraining && areAllocatorsAvailable && this.#getService(CallerAuthenticator).checkIdentity({account: '', keyHash: ''}).isRight() && this.#getService(ConfigurationReplica).version > 0 && this.#getService(GroupRegistry).areAllInstancesProbed;
 	}
 
+	/** Logs the failure of an operation that nothing awaits. */
+	logFailure(reason: unknown): void {
+		this.#getService(Logger).error('task failed', {error: String(reason)});
+	}
+
 	/** Reports unready, waits for the transactions and requests in flight, returns the shares of limits and the leases, and closes the proxy. */
 	async drain(): Promise<void> {
 		const {timeouts} = this.settings;
--- a/packages/testkit/src/tests/process/daemon-process.test.ts
+++ b/packages/testkit/src/tests/process/daemon-process.test.ts
@@ -62,3 +62,17 @@
 	const [code] = await once(daemon, 'exit') as [number];
 	t.is(code, 0);
 });
+
+// Guards against a daemon that ends because an operation failed that nothing awaits.
+test('an unhandled rejection does not end a daemon', async t => {
+	const {daemon, isAnswering} = await startDaemon(t, 'ignore', 'process.on("SIGUSR2", () => { Promise.reject(new Error("unexpected row")); });');
+	await waitFor(isAnswering);
+	daemon.kill('SIGUSR2');
+	await new Promise(resolve => {
+		setTimeout(resolve, 300);
+	});
+	t.true(await isAnswering());
+	daemon.kill('SIGTERM');
+	const [code] = await once(daemon, 'exit') as [number];
+	t.is(code, 0);
+});
