Limits: a VM forgets the accounts that the configuration has dropped

What operators would have seen: memory of a VM that grows with every account that ever sent an operation, by three counters of 51 slots each, and a report of the usage that takes longer. Cause: the state of an account was created at its first operation and never removed. Change: when another account is added, at most once in a window, the states of accounts that the configuration lacks are removed, if they have no operations, tokens or statements of usage in the last window and nothing waits for them. Until then their operations still count.

--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -70,6 +70,8 @@
 /** Enforces each account's rate and burst limit across all VMs. */
 export class AccountLimiter {
 	readonly #accounts = new Map<string, AccountState>();
+	/** Monotonic time at which the states of dropped accounts were removed last, in milliseconds. */
+	#cleanedAt = Number.NEGATIVE_INFINITY;
 	#requestTokens: TokenRequester | undefined;
 	/** Number of VMs; undefined until it is read from the store or reported by the coordinator. */
 	#memberCount: number | undefined;
@@ -304,6 +306,25 @@
 		return limit === undefined ? 0 : countAllowedLocally(limit, limitWindowMs, memberCount, state.local, now - state.local.since);
 	}
 
+	/** Removes the states of accounts that the configuration lacks and that have no operations in the last window, at most once in a window. */
+	#removeDroppedAccounts(): void {
+		const {configuration, clock, getSettings} = this.dependencies;
+		const {limitWindowMs} = getSettings();
+		const now = clock.now();
+		if (now - this.#cleanedAt < limitWindowMs) {
+			return;
+		}
+
+		this.#cleanedAt = now;
+		for (const [account, state] of this.#accounts) {
+			const isWaiting = state.waiters.length > 0 || state.isRequestPending;
+			const isStated = state.lastStated !== undefined && now - state.lastStated.at < limitWindowMs;
+			if (configuration.getAccount(account) === undefined && !isWaiting && !isStated && now >= state.tokensExpireAt && state.usage.getCount(now) === 0) {
+				this.#accounts.delete(account);
+			}
+		}
+	}
+
 	#createCounter(): SlidingWindowCounter {
 		return new SlidingWindowCounter(this.dependencies.getSettings().limitWindowMs);
 	}
@@ -311,6 +332,7 @@
 	#getState(account: string): AccountState {
 		let state = this.#accounts.get(account);
 		if (state === undefined) {
+			this.#removeDroppedAccounts();
 			state = {
 				availableTokens: 0, tokensExpireAt: 0, urgentRejectedUntil: 0, rejectedUntil: 0, isRequestPending: false, waiters: [], reserve: new UrgentReserve(), usage: this.#createCounter(),
 				admitted: this.#createCounter(), reported: this.#createCounter(), lastFree: undefined, lastStated: undefined, local: undefined,
