Limits: a coordinator forgets the accounts that the configuration has dropped

What operators would have seen: memory of a coordinator, in a long tenure, that grows with every account for which tokens were ever granted. Cause: the token issuer never removed an account. Change: when an account is granted tokens for the first time, at most once in a window, accounts that the configuration lacks are removed, if no operation of theirs is known or stated in the last window. The limit of an account that returns later holds all the same: nothing of it was used for a window.

--- a/packages/decisions/src/limits/token-issuer.ts
+++ b/packages/decisions/src/limits/token-issuer.ts
@@ -189,6 +189,18 @@
 		this.#assumption.importFractions(assumed, now);
 	}
 
+	/** Removes what is kept of accounts that have no limit any more, once no operation of theirs is in the window that ends now. */
+	removeAccounts(hasLimit: (account: string) => boolean, now: number): void {
+		for (const [account, counter] of this.#counters) {
+			const unreportedCount = this.#statedUsages.get(account)?.countUnreported(counter, now) ?? 0;
+			if (!hasLimit(account) && counter.getCount(now) === 0 && unreportedCount === 0) {
+				this.#accounts.delete(account);
+				this.#counters.delete(account);
+				this.#statedUsages.delete(account);
+			}
+		}
+	}
+
 	/** Returns the number of operations of an account that count as used in the window that ends now; undefined if no token of it was requested yet. */
 	getUsedCount(account: string, now: number): number | undefined {
 		return this.#accounts.get(account)?.limiter.getUsedCount(now);
--- a/packages/gateway/src/coordination/account-tokens.ts
+++ b/packages/gateway/src/coordination/account-tokens.ts
@@ -23,6 +23,8 @@
 /** Tokens of all client accounts in one tenure of the coordinator, and what it knows of their usage. */
 export class AccountTokens {
 	readonly #issuer: TokenIssuer;
+	/** Monotonic time at which dropped accounts were removed last, in milliseconds. */
+	#cleanedAt = Number.NEGATIVE_INFINITY;
 
 	/** @param startedAt - Monotonic time at which the tenure began, in milliseconds. */
 	constructor(private readonly dependencies: AccountTokensDependencies, startedAt: number) {
@@ -43,6 +45,10 @@
 			}
 
 			const isFirst = this.#issuer.getUsedCount(account, now) === undefined;
+			if (isFirst) {
+				this.#removeDroppedAccounts(now);
+			}
+
 			grants[account] = this.#issuer.grantTokens({
 				vm, account, demand, limit,
 			}, silentMembers, now);
@@ -54,6 +60,15 @@
 		return grants;
 	}
 
+	/** Removes the usage of accounts that the configuration lacks, at most once in a window. */
+	#removeDroppedAccounts(now: number): void {
+		const {configuration, limitWindowMs} = this.dependencies;
+		if (now - this.#cleanedAt >= limitWindowMs) {
+			this.#cleanedAt = now;
+			this.#issuer.removeAccounts(account => configuration.getAccount(account) !== undefined, now);
+		}
+	}
+
 	/** Records the usage that a heartbeat states; one of a former build states none. */
 	recordUsage({vm, accountUsage, statedUsage = [], uptimeMs}: Heartbeat): void {
 		if (accountUsage !== undefined && uptimeMs !== undefined) {
