Limits: a coordinator forgets the usage reports of VMs that have left

What callers would have seen: in a long tenure of a coordinator, an account that exceeds its limit after a process ended unheard: the more VMs were replaced under new names, the less is assumed to have been admitted by it. Operators: memory that grows with every VM that ever was there. Cause: the reports of VMs that have left were kept, and divide what is assumed for a lost process.

With 100 VMs that reported, of which 4 are left, a process lost for a whole window counted 0.01 of the limit in place of 0.25.

--- a/packages/decisions/src/limits/token-issuer.ts
+++ b/packages/decisions/src/limits/token-issuer.ts
@@ -217,6 +217,14 @@
 		}
 	}
 
+	/** Removes what is kept of a VM that has left; the tokens that it was granted still count. */
+	removeVm(vm: string): void {
+		this.#assumption.removeVm(vm);
+		for (const {usageRates} of this.#accounts.values()) {
+			usageRates.delete(vm);
+		}
+	}
+
 	#addAccount(account: string, limit: RateLimit, now: number): AccountState {
 		const state = {limiter: new SlidingWindowLimiter(limit, this.windowMs, now, this.#getCounter(account)), usageRates: new Map<string, UsageRate>(), reserve: new UrgentReserve()};
 		this.#accounts.set(account, state);
--- a/packages/decisions/src/limits/usage-assumption.ts
+++ b/packages/decisions/src/limits/usage-assumption.ts
@@ -54,6 +54,12 @@
 		this.#computed = undefined;
 	}
 
+	/** Removes a VM that has left and admits nothing any more. */
+	removeVm(vm: string): void {
+		this.#unknownUntil.delete(vm);
+		this.#computed = undefined;
+	}
+
 	/** Takes over the fractions of a predecessor that knew the usage of all VMs but for these. */
 	importFractions({even, burst}: UsageFractions, now: number): void {
 		this.#inherited = {even, burst, at: now};
--- a/packages/decisions/src/tests/limits/usage-assumption.test.ts
+++ b/packages/decisions/src/tests/limits/usage-assumption.test.ts
@@ -48,3 +48,17 @@
 	t.is(assumption.getFractions(4, [], 7000).even, 0.25);
 	t.is(assumption.getFractions(4, [], 12_000).even, 0);
 });
+
+// Guards against an assumption that becomes smaller with each VM that was replaced.
+test('VMs that have left take no part in what is assumed for a process that ended unheard', t => {
+	const assumption = new UsageAssumption(windowMs, 0);
+	for (let vm = 0; vm < 100; vm++) {
+		assumption.recordReport(`vm${vm}`, 0);
+		if (vm >= 4) {
+			assumption.removeVm(`vm${vm - 4}`);
+		}
+	}
+
+	assumption.recordLostProcess(windowMs, 7000);
+	t.is(assumption.getFractions(4, [], 7000).even, 0.25);
+});
--- a/packages/gateway/src/coordination/account-tokens.ts
+++ b/packages/gateway/src/coordination/account-tokens.ts
@@ -89,6 +89,11 @@
 		this.#issuer.removeVmUsage(vm, unheardMs ?? this.dependencies.limitWindowMs, this.dependencies.clock.now());
 	}
 
+	/** Removes what is kept of a VM that has left the cluster. */
+	removeVm(vm: string): void {
+		this.#issuer.removeVm(vm);
+	}
+
 	/** Returns what is known of the usage of accounts, for the VM that takes over as the coordinator. */
 	exportUsage(silentMembers: SilentMembers): IssuedUsageMessage {
 		const {accounts, assumed} = this.#issuer.exportUsage(silentMembers, this.dependencies.clock.now());
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -129,6 +129,7 @@
 	removeMember(vm: string): void {
 		this.#members.delete(vm);
 		this.#loads.removeVm(vm);
+		this.#tokens.removeVm(vm);
 	}
 
 	/**
