Forwarding: a VM drops its links to gateways that have left

What operators would have seen: memory of an entry VM that grows with every VM that ever was a gateway, and a connection that stays open to each that lost its power, since no end of it arrives. Cause: links were kept by name and address of the gateway, and never removed. Change: when a link to another gateway is created, those to VMs that are no members any more are closed and removed, unless an operation is in flight or a transaction open there; these go the next time. A gateway is chosen among the members, so no operation looks for a removed link.

--- a/packages/gateway/src/forwarding/forwarding-client.ts
+++ b/packages/gateway/src/forwarding/forwarding-client.ts
@@ -84,12 +84,28 @@
 	}
 
 	#getLink(vm: string, address: string, create: () => GatewayLink): GatewayLink {
-		const key = `${vm} ${address}`;
-		const link = this.#links.get(key) ?? create();
-		this.#links.set(key, link);
+		const key = createLinkKey(vm, address);
+		let link = this.#links.get(key);
+		if (link === undefined) {
+			this.#removeUnusedLinks();
+			link = create();
+			this.#links.set(key, link);
+		}
+
 		return link;
 	}
 
+	/** Removes the links to VMs that are no longer members; one with operations is removed later. */
+	#removeUnusedLinks(): void {
+		const members = new Set(this.dependencies.directory.members.map(({vm, address}) => createLinkKey(vm, address)));
+		for (const [key, link] of this.#links) {
+			if (!members.has(key) && !link.isInUse) {
+				link.close();
+				this.#links.delete(key);
+			}
+		}
+	}
+
 	#notifyCapacityFreed(): void {
 		for (const listener of this.#capacityListeners) {
 			this.dependencies.tasks.tryCall('dispatch', listener);
@@ -230,6 +246,10 @@
 	}
 }
 
+function createLinkKey(vm: string, address: string): string {
+	return `${vm} ${address}`;
+}
+
 /** Returns whether the gateway has ended the transaction of a commit with a result. */
 export function isCommitAnswered(result: ForwardResult): boolean {
 	return result.kind !== 'lost' && !(result.kind === 'not-run' && result.state === 'in-transaction');
--- a/packages/gateway/src/forwarding/gateway-link.ts
+++ b/packages/gateway/src/forwarding/gateway-link.ts
@@ -56,6 +56,11 @@
 
 	constructor(private readonly gateway: GatewayMember, private readonly dependencies: GatewayLinkDependencies, private readonly onCapacityFreed: () => void) {}
 
+	/** Whether operations are in flight, or transactions open at the gateway. */
+	get isInUse(): boolean {
+		return this.#policy.inFlightCount > 0 || (this.#channel?.transactions.size ?? 0) > 0;
+	}
+
 	/** Decides whether an operation on an instance is forwarded now, and opens the link if it is needed. */
 	choose(instanceId: string): ForwardingDecision {
 		const now = this.dependencies.clock.now();
