Instances: a cold instance that leaves is forgotten

What operators would have seen: memory that grows with every instance that left, or whose machine was replaced, while it was cold. Cause: the end of its cold time was removed only when an entry of the same id said that it is warm. Change: it is removed with the instance. An instance that returns counts anew from its entry, as before.

Evidence: tests/instances/instance-registry printed 20 in place of 1 before.

--- a/packages/gateway/src/instances/instance-registry.ts
+++ b/packages/gateway/src/instances/instance-registry.ts
@@ -92,6 +92,7 @@
 		for (const removed of before.values()) {
 			if (!this.#instances.has(removed.id)) {
 				this.#drainingSince.delete(removed.id);
+				this.#coldUntil.delete(removed.id);
 				this.#notifyListeners(removed, undefined);
 			}
 		}
