Evacuation: a VM forgets its turns at cold instances that are gone

What operators would have seen: memory that grows with every cold instance that was ever used, where groups limit the operations on cold instances. Cause: the schedule of an instance was never removed. Change: when another one is created, those of instances that are not listed are removed.

Evidence: tests/evacuation/instance-guard printed 21 in place of 2 before.

--- a/packages/gateway/src/evacuation/instance-guard.ts
+++ b/packages/gateway/src/evacuation/instance-guard.ts
@@ -134,6 +134,7 @@
 	#getSchedule({id}: Instance): ColdSchedule {
 		let schedule = this.#schedules.get(id);
 		if (schedule === undefined) {
+			this.#removeSchedules();
 			schedule = new ColdSchedule();
 			this.#schedules.set(id, schedule);
 		}
@@ -141,6 +142,15 @@
 		return schedule;
 	}
 
+	/** Removes the schedules of instances that are gone. */
+	#removeSchedules(): void {
+		for (const id of this.#schedules.keys()) {
+			if (this.dependencies.instances.getInstance(id) === undefined) {
+				this.#schedules.delete(id);
+			}
+		}
+	}
+
 	#createTurn(): ColdTurn {
 		return {rank: this.#rank ?? hashName(this.dependencies.vm) * this.#vms, vms: this.#vms, sharedNow: this.dependencies.clock.now() + this.#clockOffset};
 	}
