Coordination: what other VMs do not read is bounded in total

What a VM sent to another one that takes nothing any more, as after a partition or by a connection that went silent, was kept without a bound until the link was closed: configurations, heartbeats, statements and answers.

All links together may now hold 24 MiB, after which the links are closed whose VMs have read nothing for the longest; they are opened again as after any close. A link with at most 16 KiB is left alone. The bound is that of callers' answers, which moves to the gateway package with the code that counts what a socket has not written.

Before the change tests/coordination/tcp-peer-network printed "8 of 8 links are open" after 20 MB were sent to each of 8 VMs that do not read.

--- a/packages/gateway/src/coordination/tcp-peer-network.ts
+++ b/packages/gateway/src/coordination/tcp-peer-network.ts
@@ -3,6 +3,7 @@
 import {
 	type PeerHandlers, type PeerLink, type PeerServer, type PeerNetwork,
 } from '../ports/index.js';
+import {SocketWriter, UnreadOutput} from '../memory/index.js';
 import {listenOnServer} from '../process/listen-on-server.js';
 import {type LineBufferOwner, LineBuffers} from './line-buffers.js';
 import {parseSocketAddress} from './socket-address.js';
@@ -14,16 +15,32 @@
 /** Maximum length of unfinished lines on all links, in characters: two of the longest. */
 const maxBufferedLength = 2 * maxLineLength;
 
+/** Maximum memory of what other VMs have not read, in bytes: one of the longest lines, and ordinary messages on all other links. */
+const maxUnreadBytes = 25_165_824;
+
+/** Memory up to which a link whose VM does not read is left alone, in bytes. */
+const freeUnreadBytes = 16_384;
+
 /** Reports an error that closed the link to another VM. */
 export type PeerErrorReporter = (error: Error) => void;
 
+/** Memory that all links share. */
+type LinkMemory = {
+	readonly input: LineBuffers;
+	readonly output: UnreadOutput;
+};
+
 /** Connection between two VMs with one JSON message per line; closes itself when a line is too long, or its handler fails. */
 class LinePeerLink implements PeerLink, LineBufferOwner {
 	/** Beginning of a line that is not complete. */
 	#buffer = '';
 	#isOpen = true;
+	readonly #writer: SocketWriter;
 
-	constructor(private readonly socket: Socket, private readonly getHandlers: () => PeerHandlers, private readonly reportError: PeerErrorReporter, private readonly buffers: LineBuffers) {
+	constructor(private readonly socket: Socket, private readonly getHandlers: () => PeerHandlers, private readonly reportError: PeerErrorReporter, private readonly memory: LinkMemory) {
+		this.#writer = new SocketWriter(socket, memory.output, () => {
+			this.#fail(new Error(`more than ${maxUnreadBytes} bytes on all links that other VMs have not read`));
+		});
 		socket.setNoDelay(true);
 		socket.setEncoding('utf8');
 		socket.on('data', (chunk: string) => {
@@ -44,7 +61,7 @@
 
 	send(message: PeerMessage): void {
 		if (this.#isOpen) {
-			this.socket.write(formatPeerMessage(message));
+			this.#writer.write(formatPeerMessage(message), 'utf8');
 		}
 	}
 
@@ -76,7 +93,7 @@
 		if (text.length > maxLineLength) {
 			this.#fail(new Error(`a line of more than ${maxLineLength} characters`));
 		} else {
-			this.buffers.setLength(this, text.length);
+			this.memory.input.setLength(this, text.length);
 		}
 	}
 
@@ -91,7 +108,7 @@
 	#end(): void {
 		this.#isOpen = false;
 		this.#buffer = '';
-		this.buffers.setLength(this, 0);
+		this.memory.input.setLength(this, 0);
 	}
 
 	#fail(error: Error): void {
@@ -115,7 +132,7 @@
 	accept: PeerAcceptor | undefined;
 	readonly #server: Server;
 
-	constructor(private readonly reportError: PeerErrorReporter, private readonly buffers: LineBuffers) {
+	constructor(private readonly reportError: PeerErrorReporter, private readonly memory: LinkMemory) {
 		this.#server = createServer(socket => {
 			this.#handleSocket(socket);
 		});
@@ -140,14 +157,14 @@
 			return;
 		}
 
-		const link: PeerLink = new LinePeerLink(socket, () => handlers, this.reportError, this.buffers);
+		const link: PeerLink = new LinePeerLink(socket, () => handlers, this.reportError, this.memory);
 		const handlers = this.accept(link);
 	}
 }
 
 /** Connects VMs over TCP. */
 export class TcpPeerNetwork implements PeerNetwork {
-	readonly #buffers = new LineBuffers(maxBufferedLength);
+	readonly #memory = {input: new LineBuffers(maxBufferedLength), output: new UnreadOutput(maxUnreadBytes, freeUnreadBytes)};
 	/** Servers that are bound and have no acceptor yet, by address. */
 	readonly #boundServers = new Map<string, LinePeerServer>();
 
@@ -158,7 +175,7 @@
 	constructor(private readonly reportError: PeerErrorReporter, private readonly reportServerError: PeerErrorReporter = reportError) {}
 
 	connect(address: string, handlers: PeerHandlers): PeerLink {
-		return new LinePeerLink(connectSocket(address), () => handlers, this.reportError, this.#buffers);
+		return new LinePeerLink(connectSocket(address), () => handlers, this.reportError, this.#memory);
 	}
 
 	/**
@@ -167,7 +184,7 @@
 	 * @throws When the address cannot be bound.
 	 */
 	async bind(address: string): Promise<PeerServer> {
-		const server = new LinePeerServer(this.reportError, this.#buffers);
+		const server = new LinePeerServer(this.reportError, this.#memory);
 		await server.bind(address, this.reportServerError);
 		this.#boundServers.set(address, server);
 		return server;
--- a/platform/src/wire/unread-answers.ts
+++ b/packages/gateway/src/memory/unread-output.ts
@@ -1,32 +1,32 @@
-import {type BudgetShare, MemoryBudget} from '@chicorysaddle/gateway';
-/** What one caller has not read of its answers. */
+import {type BudgetShare, MemoryBudget} from './memory-budget.js';
+/** What one peer has not read of what it was sent. */
 export type UnreadShare = {
 	/**
-	 * Sets the memory that it takes, in bytes, and disconnects callers until it fits.
-	 * @param hasRead - Whether the caller has read something since the last call.
+	 * Sets the memory that it takes, in bytes, and disconnects peers until it fits.
+	 * @param hasRead - Whether the peer has read something since the last call.
 	 */
 	set(bytes: number, hasRead: boolean): void;
-	/** Gives the memory back, after the caller's connection has ended. */
+	/** Gives the memory back, after the connection has ended. */
 	remove(): void;
 };
 
-/** Bounds what all callers together have not read of their answers: beyond the bound, those that have read nothing for the longest are disconnected. */
-export class UnreadAnswers {
+/** Bounds what several peers together have not read of what they were sent: beyond the bound, those that have read nothing for the longest are disconnected. */
+export class UnreadOutput {
 	readonly #budget: MemoryBudget;
-	/** Shares above the free size, each with what disconnects its caller; the one whose caller has read nothing for the longest first. */
+	/** Shares above the free size, each with what disconnects its peer; the one whose peer has read nothing for the longest first. */
 	readonly #large = new Map<BudgetShare, () => void>();
 
 	/**
-	 * @param maxBytes - Maximum memory of the answers of all callers, in bytes.
-	 * @param freeBytes - Memory up to which no caller is disconnected, in bytes.
+	 * @param maxBytes - Maximum memory of the output to all peers, in bytes.
+	 * @param freeBytes - Memory up to which no peer is disconnected, in bytes.
 	 */
 	constructor(maxBytes: number, private readonly freeBytes: number) {
 		this.#budget = new MemoryBudget(maxBytes, freeBytes);
 	}
 
 	/**
-	 * Creates the share of one caller, which holds nothing yet.
-	 * @param disconnect - Ends the caller's connection at once, with what it has not read.
+	 * Creates the share of one peer, which holds nothing yet.
+	 * @param disconnect - Ends the connection at once, with what was not read.
 	 */
 	createShare(disconnect: () => void): UnreadShare {
 		const share = this.#budget.createShare();
--- a/packages/gateway/src/tests/coordination/tcp-peer-network.test.ts
+++ b/packages/gateway/src/tests/coordination/tcp-peer-network.test.ts
@@ -1,4 +1,5 @@
 import {createConnection, type Socket} from 'node:net';
+import {setTimeout} from 'node:timers/promises';
 import test from 'ava';
 import {formatPeerMessage} from '@chicorysaddle/protocol/coordination';
 import {TcpPeerNetwork} from '../../coordination/index.js';
@@ -104,9 +105,7 @@
 
 	const deadline = Date.now() + 10_000;
 	while (errors.length < 4 && Date.now() < deadline) {
-		await new Promise(resolve => {
-			setTimeout(resolve, 20);
-		});
+		await setTimeout(20);
 	}
 
 	t.is(errors.length, 4);
@@ -127,9 +126,7 @@
 	const text = validLine.repeat(4) + 'odd\n' + validLine;
 	for (let start = 0; start < text.length; start += 17) {
 		socket.write(text.slice(start, start + 17));
-		await new Promise(resolve => {
-			setTimeout(resolve, 1);
-		});
+		await setTimeout(1);
 	}
 
 	await new Promise<void>(resolve => {
@@ -141,3 +138,58 @@
 	t.deepEqual(received, ['acceptance', 'acceptance', 'acceptance', 'acceptance', 'invalid', 'acceptance']);
 	server.close();
 });
+
+// Guards against a process that ends for lack of memory because other VMs, or links that went silent, no longer take what is sent to them.
+test('links whose VMs do not read are closed once all together hold too much, and a VM that reads gets all messages', async t => {
+	const links: PeerLink[] = [];
+	const network = new TcpPeerNetwork(() => undefined);
+	const server = await network.listen(address, link => {
+		links.push(link);
+		return {onMessage: () => undefined, onClosed: () => undefined};
+	});
+	const sockets: Socket[] = [];
+	const connect = async () => {
+		const socket = createConnection(server.port, '127.0.0.1');
+		sockets.push(socket);
+		socket.on('error', () => {
+			// The close event follows.
+		});
+		while (links.length < sockets.length) {
+			await setTimeout(5);
+		}
+
+		return socket;
+	};
+
+	const message = {kind: 'configuration-reply', version: 1, encoded: 'x'.repeat(1_000_000)} as const;
+	const sendMessages = async (link: PeerLink) => {
+		for (let count = 0; count < 20; count++) {
+			link.send(message);
+			await setTimeout(1);
+		}
+	};
+
+	for (let index = 0; index < 8; index++) {
+		await connect();
+		await sendMessages(links.at(-1)!);
+	}
+
+	// Each leaves 10 MB unread at the least, beside what the operating system buffers.
+	t.true(links.filter(({isOpen}) => isOpen).length <= 2, `${links.filter(({isOpen}) => isOpen).length} of 8 links are open`);
+	let readLength = 0;
+	const reading = await connect();
+	reading.on('data', (chunk: Uint8Array) => {
+		readLength += chunk.length;
+	});
+	await sendMessages(links.at(-1)!);
+	while (readLength < 20 * formatPeerMessage(message).length) {
+		await setTimeout(5);
+	}
+
+	t.true(links.at(-1)!.isOpen);
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	server.close();
+});
