Forwarding: remembered sessions of other VMs are bounded in memory

A VM to which others forward operations remembered the values of 256 sessions of each link, whatever their size and whether they had ended.

They may take 1 MiB for each link; the newest session is remembered in any case. The values of a forgotten session arrive again with its next statement.

--- a/packages/gateway/src/forwarding/remote-sessions.ts
+++ b/packages/gateway/src/forwarding/remote-sessions.ts
@@ -4,6 +4,9 @@
 /** Maximum number of sessions of a link that are remembered; the values of a forgotten one are applied again. */
 const maxSessions = 256;
 
+/** Maximum memory of the values of these sessions, in bytes; the newest session is remembered in any case. */
+const maxValueBytes = 1_048_576;
+
 /** Stands for all sessions without values, since connections without values do not depend on the session. */
 const sessionWithoutValues: SessionValues = {values: new Map(), valuesVersion: 0};
 
@@ -11,6 +14,7 @@
 class RemoteSession implements SessionValues {
 	#values: ReadonlyMap<string, string> = new Map();
 	#valuesVersion = 0;
+	#valueBytes = 0;
 
 	get values(): ReadonlyMap<string, string> {
 		return this.#values;
@@ -20,11 +24,20 @@
 		return this.#valuesVersion;
 	}
 
+	/** Memory of the values, in bytes. */
+	get valueBytes(): number {
+		return this.#valueBytes;
+	}
+
 	/** Sets the values if they are newer. */
 	setValues(values: Readonly<Record<string, string>>, version: number): void {
 		if (version > this.#valuesVersion) {
 			this.#values = new Map(Object.entries(values));
 			this.#valuesVersion = version;
+			this.#valueBytes = 0;
+			for (const [name, value] of this.#values) {
+				this.#valueBytes += name.length + value.length;
+			}
 		}
 	}
 }
@@ -35,6 +48,7 @@
  */
 export class RemoteSessions {
 	readonly #sessions = new Map<number, RemoteSession>();
+	#valueBytes = 0;
 
 	/** Returns the session of a statement. */
 	getSession({session}: ForwardMessage): SessionValues {
@@ -43,15 +57,24 @@
 		}
 
 		const known = this.#sessions.get(session.id) ?? new RemoteSession();
+		const formerBytes = this.#sessions.has(session.id) ? known.valueBytes : 0;
 		known.setValues(session.values, session.version);
+		this.#valueBytes += known.valueBytes - formerBytes;
 		// Set again, so that the map is in the order of use.
 		this.#sessions.delete(session.id);
 		this.#sessions.set(session.id, known);
-		const [oldest] = this.#sessions.keys();
-		if (this.#sessions.size > maxSessions && oldest !== undefined) {
-			this.#sessions.delete(oldest);
-		}
-
+		this.#removeOldest();
 		return known;
 	}
+
+	#removeOldest(): void {
+		for (const [id, {valueBytes}] of this.#sessions) {
+			if (this.#sessions.size === 1 || (this.#sessions.size <= maxSessions && this.#valueBytes <= maxValueBytes)) {
+				return;
+			}
+
+			this.#sessions.delete(id);
+			this.#valueBytes -= valueBytes;
+		}
+	}
 }
