Times beyond the range of timers no longer run out at once

Seen: a timer of Node.js that is set to more than 2^31-1 ms, or to no number, runs at once. With TxIdleMs of 25 days or more a forwarded transaction was rolled back between two statements (the gateway adds a second to the bound of the entry); a configuration or statement from another VM is not bounded there at all; a connection to an instance with such a timeout was closed at once; with such a grace period the shutdown was given up when it began.

Looked at and constant, or bounded by a constant: all other timers of platform/src and packages/gateway/src (store and promotion requests, polling, heartbeats, back-off, hand-over, transfers, silence checks, session timers).

--- a/packages/gateway/src/dispatch/dispatcher.ts
+++ b/packages/gateway/src/dispatch/dispatcher.ts
@@ -1,7 +1,7 @@
 import {
 	checkGatewayOpening, FairQueue, type GatewayOpening, type InstanceCandidate, InstanceChooser, type QueueEntry, WaitEstimator,
 } from '@chicorysaddle/decisions';
-import {type Refusal, refusals} from '@chicorysaddle/model';
+import {clampTimerMs, type Refusal, refusals} from '@chicorysaddle/model';
 import {AdmissionGate} from '../admission/index.js';
 import {getPriorityClass, type ConfigurationView} from '../configuration/index.js';
 import {type InstanceGuard} from '../evacuation/index.js';
@@ -564,7 +564,7 @@
 			this.#dispatchTimers.set(group, setTimeout(() => {
 				this.#dispatchTimers.delete(group);
 				this.#tryDispatchGroup(group);
-			}, Math.min(delayMs, waiterCheckIntervalMs)));
+			}, Math.min(clampTimerMs(delayMs), waiterCheckIntervalMs)));
 		}
 	}
 
--- a/packages/gateway/src/forwarding/forwarding-server.ts
+++ b/packages/gateway/src/forwarding/forwarding-server.ts
@@ -1,4 +1,4 @@
-import {refusals, type Refusal} from '@chicorysaddle/model';
+import {clampTimerMs, refusals, type Refusal} from '@chicorysaddle/model';
 import {type ForwardMessage, type ForwardOutcome, type PeerMessage} from '@chicorysaddle/protocol/coordination';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type Dispatcher, type Placement, type PlacementRequest} from '../dispatch/index.js';
@@ -359,7 +359,7 @@
 		if (transaction !== undefined && idleMs !== undefined) {
 			transaction.idleTimer = setTimeout(this.dependencies.tasks.createCallback('idle transaction', () => {
 				this.#endTransaction(state, id);
-			}), idleMs + idleMarginMs);
+			}), clampTimerMs(idleMs + idleMarginMs));
 		}
 	}
 
--- a/packages/gateway/src/forwarding/gateway-link.ts
+++ b/packages/gateway/src/forwarding/gateway-link.ts
@@ -1,4 +1,5 @@
 import {type ForwardFailure, type ForwardingDecision, ForwardingPolicy} from '@chicorysaddle/decisions';
+import {clampTimerMs} from '@chicorysaddle/model';
 import {type ForwardAnswer, type ForwardMessage, type parsePeerMessage} from '@chicorysaddle/protocol/coordination';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type Clock, type PeerLink, type PeerNetwork} from '../ports/index.js';
@@ -125,7 +126,7 @@
 		return new Promise(resolve => {
 			const timer = setTimeout(this.dependencies.tasks.createCallback('forwarded statement', () => {
 				this.#abandon(channel, message.id);
-			}), Math.max(1, message.runMs));
+			}), clampTimerMs(Math.max(1, message.runMs)));
 			channel.pending.set(message.id, {
 				instanceId: message.instance, sentAt, timer, settle: resolve,
 			});
--- a/packages/gateway/src/process/delay.ts
+++ b/packages/gateway/src/process/delay.ts
@@ -1,3 +1,5 @@
+import {clampTimerMs} from '@chicorysaddle/model';
+
 /** Waits for a time, in milliseconds, or until a signal is aborted. */
 export async function delay(ms: number, signal?: AbortSignal): Promise<void> {
 	await new Promise<void>(resolve => {
@@ -7,7 +9,7 @@
 			resolve();
 		};
 
-		const timer = setTimeout(finish, ms);
+		const timer = setTimeout(finish, clampTimerMs(ms));
 		signal?.addEventListener('abort', finish);
 		if (signal?.aborted === true) {
 			finish();
--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -1,4 +1,6 @@
-import {refusals, type LogPosition, type Refusal} from '@chicorysaddle/model';
+import {
+	clampTimerMs, refusals, type LogPosition, type Refusal,
+} from '@chicorysaddle/model';
 import {getPriorityClass, type ClientAccount} from '../configuration/index.js';
 import {type PreparedStatement} from '../dispatch/index.js';
 import {type CallerAnswer, type CallerConnection} from '../ports/index.js';
@@ -444,7 +446,7 @@
 			this.dependencies.metrics.addCount('transaction_idle');
 			this.#failTransaction();
 			this.#rollBackRefusal = refusals.transactionAborted('it was idle for too long');
-		}), idleMs);
+		}), clampTimerMs(idleMs));
 	}
 
 	#answer(request: StatementRequest, outcome: OperationOutcome): void {
--- a/packages/gateway/src/tests/fakes/fake-database.ts
+++ b/packages/gateway/src/tests/fakes/fake-database.ts
@@ -1,4 +1,4 @@
-import {comparePositions, type LogPosition} from '@chicorysaddle/model';
+import {clampTimerMs, comparePositions, type LogPosition} from '@chicorysaddle/model';
 import {type Instance} from '../../instances/index.js';
 import {
 	type ConnectResult, type InstanceConnection, type InstanceConnector, type PromotionRequest, type PromotionResult, type PromotionService,
@@ -385,7 +385,7 @@
 				this.#abortCallbacks.delete(abort);
 				resolve({kind: 'broken', reason: 'timeout'});
 				this.close();
-			}, timeoutMs);
+			}, clampTimerMs(timeoutMs));
 			this.#abortCallbacks.add(abort);
 			void (async () => {
 				const outcome = await this.#runStatement(statement);
--- a/packages/gateway/src/tests/forwarding/forwarded-transactions.test.ts
+++ b/packages/gateway/src/tests/forwarding/forwarded-transactions.test.ts
@@ -1,7 +1,9 @@
 import test from 'ava';
 import {type LogPosition} from '@chicorysaddle/model';
 import {describeAnswer, statements} from '../fakes/test-cluster.js';
-import {maxConnections, startScene} from './scarce-cluster.js';
+import {
+	accountNames, createScarceConfiguration, maxConnections, startScene,
+} from './scarce-cluster.js';
 
 const {
 	read, write, begin, beginRead, commit, rollBack,
@@ -25,6 +27,28 @@
 	cluster.stop();
 });
 
+// Guards against a transaction that is rolled back at once, because its idle time, or its statements, because their timeout, are longer than what a timer can wait for.
+test.serial('a transaction stays open for an idle time, and its statements run for a timeout, beyond the range of timers', async t => {
+	for (const ms of [2_147_483_647, 1e12, Number.MAX_SAFE_INTEGER]) {
+		const {routes} = createScarceConfiguration();
+		const {cluster, entry, gateway, account, caller} = await startScene('strict', accountNames, createScarceConfiguration({transactionIdleMs: ms, routes: routes.map(route => ({...route, statementTimeoutMs: ms}))}));
+		const local = cluster.openSession(gateway, 'strict', account);
+		for (const session of [caller, local]) {
+			t.is(describeAnswer(await session.sendAndWait(begin)), 'acknowledged');
+			t.is((await session.sendAndWait(write)).result.kind, 'completed', `${ms}`);
+		}
+
+		await cluster.time.advance(2000);
+		for (const session of [caller, local]) {
+			const answer = await session.sendAndWait(commit);
+			t.is(answer.result.kind, 'completed', `${ms}: ${describeAnswer(answer)}`);
+		}
+
+		t.true(cluster.getCount(entry, 'forwarded') > 0);
+		cluster.stop();
+	}
+});
+
 test.serial('a rolled back transaction and one whose caller leaves keep nothing and free the connection', async t => {
 	const {cluster, entry, account, caller} = await startScene();
 	const commits = cluster.database.events.filter(({kind}) => kind === 'commit').length;
--- a/packages/gateway/src/tests/forwarding/scarce-cluster.ts
+++ b/packages/gateway/src/tests/forwarding/scarce-cluster.ts
@@ -100,9 +100,9 @@
 };
 
 /** Starts a cluster, and forwards a statement of an account whose gateway is not the coordinator. */
-export async function startScene(database = 'strict', candidates: readonly string[] = accountNames): Promise<Scene> {
+export async function startScene(database = 'strict', candidates: readonly string[] = accountNames, configuration = createScarceConfiguration()): Promise<Scene> {
 	const cluster = new ScarceCluster();
-	await cluster.startAll();
+	await cluster.startAll(configuration);
 	const account = candidates.find(name => cluster.getGatewayOf(name) !== cluster.getCoordinator())!;
 	const gateway = cluster.getGatewayOf(account);
 	const entry = cluster.getEntryVm();
--- a/packages/gateway/src/tests/process/process-supervisor.test.ts
+++ b/packages/gateway/src/tests/process/process-supervisor.test.ts
@@ -189,6 +189,18 @@
 	process.time.stop();
 });
 
+// Guards against a shutdown that is given up at once, because the grace period is beyond the range of timers.
+test.serial('a shutdown has its time also when the grace period is longer than a timer can wait for', async t => {
+	for (const graceMs of [1e12, Number.POSITIVE_INFINITY]) {
+		const process = new SupervisedProcess();
+		process.graceMs = graceMs;
+		await process.start(100);
+		await process.stop();
+		t.deepEqual(process.exits, [0]);
+		t.is(process.events.at(-1), 'process.ended vm=vm1 phase=stopping code=0 reason=SIGTERM');
+	}
+});
+
 // Guards against a process that ends, because its settings file is being replaced at the start.
 test.serial('settings that cannot be read are read again, with a line for each reason, and end the process only after the limit', async t => {
 	const process = new SupervisedProcess();
