Registration: a VM replaces an unreadable row under its name

Operators saw (by reading so far): a VM under whose name another writer had left an unreadable row never registered itself, nor did the coordinator register it: the row counted as absent, so each write required that it is. Such a VM relies on no term that it reads from the store, and never becomes the coordinator; where all VMs have such rows, nothing is served.

Cause: the decoder left the row out and dropped its version.

Change: the name and the version of an unreadable member row count as a registration without a process. The VM, or the coordinator for a connected one, replaces the row at its version; the row of a silent VM is removed as others are; the closing of a term waits for a VM of that name until its term leases have expired, as it may rely on what it read before its row was overwritten.

Not covered: a VM that leaves while its own row is unreadable leaves it to the coordinator to remove it.

--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -25,7 +25,7 @@
 import {type MemberRegistrar} from './member-registrar.js';
 import {type Promoter} from './promoter.js';
 import {
-	type CoordinatorRow, type SharedState,
+	type CoordinatorRow, getRegistrations, type SharedState,
 } from './shared-rows.js';
 import {StoreMembership} from './store-membership.js';
 import {type StoreRecovery} from './store-recovery.js';
@@ -563,7 +563,7 @@
 	}
 
 	#beginCoordinating(state: SharedState): void {
-		this.dependencies.coordinator.setRegisteredMembers(state.members);
+		this.dependencies.coordinator.setRegisteredMembers(getRegistrations(state));
 		this.dependencies.termWriter.recordUnreadable(state);
 		this.#publishInstances();
 		// VMs that took this one for the coordinator already need not wait for their next heartbeat.
@@ -731,10 +731,11 @@
 	}
 
 	#handleSharedState(state: SharedState): void {
-		const {members, coordinator} = state;
+		const {coordinator} = state;
+		const memberCount = getRegistrations(state).size;
 		this.dependencies.termWriter.recordUnreadable(state);
-		this.dependencies.limiter.setMemberCount(members.size);
-		this.dependencies.dispatcher.setMemberCount(members.size);
+		this.dependencies.limiter.setMemberCount(memberCount);
+		this.dependencies.dispatcher.setMemberCount(memberCount);
 		this.#coordinatorRow = coordinator;
 		this.#coordinatorHint = undefined;
 		if (coordinator !== undefined) {
--- a/packages/gateway/src/coordination/coordinator.ts
+++ b/packages/gateway/src/coordination/coordinator.ts
@@ -20,7 +20,7 @@
 import {InstanceFeed} from './instance-feed.js';
 import {MemberState} from './member-state.js';
 import {PositionFeed} from './position-feed.js';
-import {type MemberContent, type MemberRow} from './shared-rows.js';
+import {type MemberContent, type Registration} from './shared-rows.js';
 
 /** Time without a heartbeat after which a VM counts as silent and its evidence is ignored, in milliseconds. */
 const heartbeatTimeoutMs = 1500;
@@ -106,7 +106,7 @@
 	}
 
 	/** Sets the VMs that are registered in the store. */
-	setRegisteredMembers(rows: ReadonlyMap<string, MemberRow>): void {
+	setRegisteredMembers(rows: ReadonlyMap<string, Registration>): void {
 		this.#beginTenureIfNew();
 		this.#registeredIncarnations = new Map([...rows].map(([vm, {incarnation}]) => [vm, incarnation]));
 	}
--- a/packages/gateway/src/coordination/member-registrar.ts
+++ b/packages/gateway/src/coordination/member-registrar.ts
@@ -4,7 +4,7 @@
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {
-	createMemberWrite, getMemberKey, maxRowsPerWrite, type MemberRow, parseSharedRows,
+	createMemberWrite, getMemberKey, getRegistrations, maxRowsPerWrite, parseSharedRows, type Registration,
 } from './shared-rows.js';
 
 /** Time without a heartbeat after which a VM's row is removed, in milliseconds. */
@@ -63,21 +63,21 @@
 			return;
 		}
 
-		const {members} = parseSharedRows(result.value, log);
-		coordinator.setRegisteredMembers(members);
-		await this.#registerConnected(members);
-		await this.#removeSilent(members);
+		const registrations = getRegistrations(parseSharedRows(result.value, log));
+		coordinator.setRegisteredMembers(registrations);
+		await this.#registerConnected(registrations);
+		await this.#removeSilent(registrations);
 		this.#checkCount += 1;
 	}
 
-	async #registerConnected(rows: ReadonlyMap<string, MemberRow>): Promise<void> {
+	async #registerConnected(rows: ReadonlyMap<string, Registration>): Promise<void> {
 		const writes = this.dependencies.coordinator.getUnregisteredMembers().map(({vm, content}) => createMemberWrite(vm, content, rows.get(vm)?.version ?? 0));
 		await this.#writeInBatches(writes, (batch, version) => {
 			this.dependencies.log.logEvent('members.registered', {count: batch.length, version});
 		});
 	}
 
-	async #removeSilent(rows: ReadonlyMap<string, MemberRow>): Promise<void> {
+	async #removeSilent(rows: ReadonlyMap<string, Registration>): Promise<void> {
 		const {coordinator, log} = this.dependencies;
 		const silentVms = coordinator.getSilentVms(memberTimeoutMs);
 		for (const vm of silentVms.filter(name => !rows.has(name))) {
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -11,7 +11,9 @@
 import {type Coordinator} from './coordinator.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {type DutyMonitor} from './duty-monitor.js';
-import {noPrimaryId, parseSharedRows, type StoredTerm} from './shared-rows.js';
+import {
+	getRegistrations, noPrimaryId, parseSharedRows, type StoredTerm,
+} from './shared-rows.js';
 import {
 	createRoles, findPrimary, type PromotedInstance, type SuccessorPromoter,
 } from './successor-promoter.js';
@@ -285,7 +287,7 @@
 		const {store, coordinator, coordinatorLease, successorPromoter, clock, log} = this.dependencies;
 		const closedAt = clock.now();
 		const result = await store.readSharedRows(statusTimeoutMs);
-		const registeredVms = result.kind === 'ok' ? new Set(parseSharedRows(result.value, log).members.keys()) : undefined;
+		const registeredVms = result.kind === 'ok' ? new Set(getRegistrations(parseSharedRows(result.value, log)).keys()) : undefined;
 		let recordCheckedAt = Number.NEGATIVE_INFINITY;
 		// Without the list of registered VMs, an unknown name that never acknowledges makes the wait last until the term leases have expired.
 		while (!coordinator.isTermClosed(closedTerm.group, closedTerm.revision, closedAt, registeredVms ?? new Set(['an unknown VM']))) {
--- a/packages/gateway/src/coordination/shared-rows.ts
+++ b/packages/gateway/src/coordination/shared-rows.ts
@@ -47,6 +47,9 @@
 /** Row in which a VM registered itself, with its version in the store. */
 export type MemberRow = GetType<typeof memberCodec> & {readonly vm: string; readonly version: StoreVersion};
 
+/** What is known of a VM's registration: of a row that cannot be read, the name and the version. */
+export type Registration = Pick<MemberRow, 'vm' | 'incarnation' | 'version'>;
+
 /** Content of a member row. */
 export type MemberContent = GetType<typeof memberCodec>;
 
@@ -65,6 +68,8 @@
 /** Versions of rows that cannot be read: each can be replaced on condition that it is still at its version. */
 export type UnreadableRows = {
 	readonly coordinator: StoreVersion | undefined;
+	/** By VM. */
+	readonly members: ReadonlyMap<string, StoreVersion>;
 	/** By group. */
 	readonly terms: ReadonlyMap<string, StoreVersion>;
 };
@@ -127,6 +132,7 @@
 export function parseSharedRows(rows: readonly SharedRow[], log: EventLog): SharedState {
 	let coordinator: CoordinatorRow | undefined;
 	let unreadableCoordinator: StoreVersion | undefined;
+	const unreadableMembers = new Map<string, StoreVersion>();
 	const unreadableTerms = new Map<string, StoreVersion>();
 	const members = new Map<string, MemberRow>();
 	const terms = new Map<string, StoredTerm>();
@@ -143,7 +149,9 @@
 		} else if (isNamed(row.key, memberKeyPrefix)) {
 			const vm = row.key.slice(memberKeyPrefix.length);
 			const content = decodeRow(memberCodec, row, value, log);
-			if (content !== undefined) {
+			if (content === undefined) {
+				unreadableMembers.set(vm, row.version);
+			} else {
 				members.set(vm, {...content, vm, version: row.version});
 			}
 		} else if (isNamed(row.key, termKeyPrefix)) {
@@ -165,10 +173,15 @@
 	}
 
 	return {
-		coordinator, members, terms, restoredTerms, unreadable: {coordinator: unreadableCoordinator, terms: unreadableTerms},
+		coordinator, members, terms, restoredTerms, unreadable: {coordinator: unreadableCoordinator, members: unreadableMembers, terms: unreadableTerms},
 	};
 }
 
+/** Returns the registrations of all VMs; that of a row that cannot be read is of no process, so that the VM is registered again or, if it is silent, removed. */
+export function getRegistrations({members, unreadable}: SharedState): ReadonlyMap<string, Registration> {
+	return unreadable.members.size === 0 ? members : new Map<string, Registration>([...members, ...[...unreadable.members].map(([vm, version]) => [vm, {vm, incarnation: '', version}] as const)]);
+}
+
 /**
  * Creates terms in place of rows that cannot be read and are newer than the known terms: they are closing, so that no VM uses a primary that may have been replaced.
  * @param knownTerms - Known terms of all groups; nothing is created for a group without one.
--- a/packages/gateway/src/coordination/store-membership.ts
+++ b/packages/gateway/src/coordination/store-membership.ts
@@ -218,7 +218,7 @@
 			return false;
 		}
 
-		const written = await store.writeSharedRows([createMemberWrite(vm, {address: peerAddress, zone, incarnation}, row?.version ?? 0)], callTimeoutMs);
+		const written = await store.writeSharedRows([createMemberWrite(vm, {address: peerAddress, zone, incarnation}, row?.version ?? state.unreadable.members.get(vm) ?? 0)], callTimeoutMs);
 		if (written.kind === 'failed' || !written.value.isApplied) {
 			return false;
 		}
