Names from outside: __proto__ and names of other properties of every object are names like others

Configurations with such keys could not be passed on as changes between VMs.

Cause: objects that serve as maps. An assignment to __proto__ replaces the prototype, and purify's `record` decodes by assignment, so that the name is lost from heartbeats, requests for tokens and grants; a look-up of a missing name finds the property that every object inherits, so that Object.prototype counted as a grant without a number.

What VMs exchange is as before, also for former builds, on which such names are lost as they were.

Accounts and groups named constructor, toString, hasOwnProperty and valueOf passed before, too.

Searched: all objects with computed keys, Object.entries, Object.fromEntries and look-up tables in packages/gateway, packages/decisions, packages/protocol, packages/model and platform. Statements' keywords, instances' error codes and kinds of messages were sound: looked up as own properties, or an unknown one is invalid. Not searched: packages/proxy, packages/store, packages/cli.

--- a/packages/gateway/src/configuration/configuration-changes.ts
+++ b/packages/gateway/src/configuration/configuration-changes.ts
@@ -1,6 +1,7 @@
 import {
-	array, Codec, number, oneOf, record, string, tuple, unknown,
+	array, Codec, number, oneOf, string, tuple, unknown,
 } from 'purify-ts';
+import {createMapCodec, getOwnValue} from '@chicorysaddle/model';
 
 /** Consecutive items of the former list: index of the first, and their number. */
 const copiedItemsCodec = Codec.interface({copy: tuple([number, number])});
@@ -11,7 +12,7 @@
 const listChangesCodec = array(oneOf([copiedItemsCodec, addedItemsCodec]));
 
 /** Changes between two serialized configurations: lists as segments, everything else as it is afterwards; `keys` states the order. */
-const changesCodec = Codec.interface({keys: array(string), lists: record(string, listChangesCodec), values: record(string, unknown)});
+const changesCodec = Codec.interface({keys: array(string), lists: createMapCodec(listChangesCodec), values: createMapCodec(unknown)});
 
 type ListChanges = Array<{copy: [number, number]} | {add: unknown[]}>;
 
@@ -42,18 +43,18 @@
 export function createConfigurationChanges(before: string, after: string): string {
 	const former = JSON.parse(before) as Record<string, unknown>;
 	const newer = JSON.parse(after) as Record<string, unknown>;
-	const lists: Record<string, ListChanges> = {};
-	const values: Record<string, unknown> = {};
+	const lists = new Map<string, ListChanges>();
+	const values = new Map<string, unknown>();
 	for (const [key, value] of Object.entries(newer)) {
-		const formerValue = former[key];
+		const formerValue = getOwnValue(former, key);
 		if (Array.isArray(value) && Array.isArray(formerValue)) {
-			lists[key] = createListChanges(formerValue, value);
+			lists.set(key, createListChanges(formerValue, value));
 		} else {
-			values[key] = value;
+			values.set(key, value);
 		}
 	}
 
-	return JSON.stringify({keys: Object.keys(newer), lists, values});
+	return JSON.stringify({keys: Object.keys(newer), lists: Object.fromEntries(lists), values: Object.fromEntries(values)});
 }
 
 /**
@@ -63,8 +64,9 @@
 export function applyConfigurationChanges(before: string, changes: string): string | undefined {
 	const former = JSON.parse(before) as Record<string, unknown>;
 	return changesCodec.decode(JSON.parse(changes)).map(({keys, lists, values}) => JSON.stringify(Object.fromEntries(keys.map(key => {
-		const items = Array.isArray(former[key]) ? former[key] as unknown[] : [];
-		const list = lists[key]?.flatMap(segment => 'copy' in segment ? items.slice(segment.copy[0], segment.copy[0] + segment.copy[1]) : segment.add);
-		return [key, list ?? values[key]];
+		const formerValue = getOwnValue(former, key);
+		const items = Array.isArray(formerValue) ? formerValue as unknown[] : [];
+		const list = getOwnValue(lists, key)?.flatMap(segment => 'copy' in segment ? items.slice(segment.copy[0], segment.copy[0] + segment.copy[1]) : segment.add);
+		return [key, list ?? getOwnValue(values, key)];
 	})))).toMaybe().extract();
 }
--- a/packages/gateway/src/coordination/account-tokens.ts
+++ b/packages/gateway/src/coordination/account-tokens.ts
@@ -34,13 +34,13 @@
 	/** Grants a VM tokens of the accounts in its demands. */
 	issueTokens(vm: string, demands: TokenDemands, silentMembers: SilentMembers): TokenGrants {
 		const now = this.dependencies.clock.now();
-		const grants: TokenGrants = {};
+		const grants = new Map<string, TokenGrants[string]>();
 		for (const [account, demand] of Object.entries(demands)) {
 			const limit = this.dependencies.configuration.getAccount(account);
 			if (limit === undefined) {
-				grants[account] = {
+				grants.set(account, {
 					count: 0, waitMs: unknownAccountWaitMs, free: undefined, used: undefined,
-				};
+				});
 				continue;
 			}
 
@@ -49,15 +49,15 @@
 				this.#removeDroppedAccounts(now);
 			}
 
-			grants[account] = this.#issuer.grantTokens({
+			grants.set(account, this.#issuer.grantTokens({
 				vm, account, demand, limit,
-			}, silentMembers, now);
+			}, silentMembers, now));
 			if (isFirst) {
 				this.dependencies.log.logEvent('limits.assumed', {account, used: Math.round(this.#issuer.getUsedCount(account, now)!), allowed: countAllowedPerWindow(limit, this.dependencies.limitWindowMs)});
 			}
 		}
 
-		return grants;
+		return Object.fromEntries(grants);
 	}
 
 	/** Removes the usage of accounts that the configuration lacks, at most once in a window. */
--- a/packages/gateway/src/coordination/heartbeat-builder.ts
+++ b/packages/gateway/src/coordination/heartbeat-builder.ts
@@ -151,9 +151,9 @@
 	#createComplete({now, evidence, revisions}: HeartbeatContent, instanceRevision: string | undefined): Heartbeat {
 		const {identity, configuration} = this.dependencies;
 		const usage = this.dependencies.createUsageReport();
-		const positions: Heartbeat['positions'] = {};
+		const positions = new Map<string, Heartbeat['positions'][string]>();
 		for (const {group, position, observedAt} of this.#collectPositions(now)) {
-			positions[group] = {position, ageMs: now - observedAt};
+			positions.set(group, {position, ageMs: now - observedAt});
 			this.#recordSentPosition(group, observedAt);
 		}
 
@@ -162,7 +162,7 @@
 			vm: identity.vm,
 			incarnation: identity.incarnation,
 			sequence: this.#sequence,
-			positions,
+			positions: Object.fromEntries(positions),
 			evidence: encodeEvidence(evidence, now),
 			revisions: Object.fromEntries([...revisions].map(([group, revision]) => [group, getVersionInEra(revision)])),
 			storeRevisions: Object.fromEntries(revisions),
--- a/packages/gateway/src/coordination/member-state.ts
+++ b/packages/gateway/src/coordination/member-state.ts
@@ -1,4 +1,5 @@
 import {type PrimaryEvidence} from '@chicorysaddle/decisions';
+import {getOwnValue} from '@chicorysaddle/model';
 import {type Heartbeat, type HeartbeatDelta} from '@chicorysaddle/protocol/coordination';
 import {type PeerLink, type StoreVersion} from '../ports/index.js';
 
@@ -135,7 +136,7 @@
 
 	/** Returns the writes per second that the VM sends to the primary of a group; an implausible number counts as none or as the maximum. */
 	getWritesPerS(group: string): number {
-		const perSecond = this.#writesPerS?.[group] ?? 0;
+		const perSecond = (this.#writesPerS && getOwnValue(this.#writesPerS, group)) ?? 0;
 		return Number.isFinite(perSecond) ? Math.min(maxWritesPerS, Math.max(0, perSecond)) : 0;
 	}
 
--- a/packages/gateway/src/limits/account-limiter.ts
+++ b/packages/gateway/src/limits/account-limiter.ts
@@ -1,6 +1,7 @@
 import {
 	type AccountUsage, countAllowedLocally, type LocalUsage, SlidingWindowCounter, type TokenGrant, type TokenDemand, UrgentReserve, type UsageStatement,
 } from '@chicorysaddle/decisions';
+import {getOwnValue} from '@chicorysaddle/model';
 import {type ConfigurationView} from '../configuration/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
 import {type AdjustableSettingsSource, type Clock} from '../ports/index.js';
@@ -178,7 +179,7 @@
 	async #requestPendingTokens(): Promise<void> {
 		const waitersByAccount = new Map<string, Waiter[]>();
 		const admittedByAccount = new Map<string, SlidingWindowCounter>();
-		const demands: Record<string, TokenDemand> = {};
+		const demands = new Map<string, TokenDemand>();
 		const now = this.dependencies.clock.now();
 		const prefetchFraction = (prefetchHorizonS * msPerSecond) / this.dependencies.getSettings().limitWindowMs;
 		for (const [account, state] of this.#accounts) {
@@ -186,9 +187,9 @@
 				state.isRequestPending = true;
 				const urgent = state.waiters.filter(({isUrgent}) => isUrgent);
 				waitersByAccount.set(account, [...urgent, ...state.waiters.filter(({isUrgent}) => !isUrgent)]);
-				demands[account] = {
+				demands.set(account, {
 					needed: state.waiters.length, urgent: urgent.length === 0 ? undefined : urgent.length, extra: Math.floor(state.usage.getCount(now) * prefetchFraction), admitted: state.admitted.getCount(now) === 0 ? undefined : state.admitted.exportCounts(now),
-				};
+				});
 				admittedByAccount.set(account, state.admitted);
 				state.admitted = this.#createCounter();
 				state.waiters = [];
@@ -199,12 +200,12 @@
 			return;
 		}
 
-		const grants = await this.#tryRequestTokens(demands);
+		const grants = await this.#tryRequestTokens(Object.fromEntries(demands));
 		for (const [account, waiters] of waitersByAccount) {
 			const state = this.#getState(account);
 			state.isRequestPending = false;
 			const isDecided = this.dependencies.tasks.tryCall('token request', () => {
-				const grant = grants?.[account];
+				const grant = grants && getOwnValue(grants, account);
 				if (grant === undefined) {
 					admittedByAccount.get(account)!.moveTo(state.admitted, 1, this.dependencies.clock.now());
 					this.#applyLocalLimit(account, state, waiters);
--- a/packages/gateway/src/tests/configuration/configuration-changes.test.ts
+++ b/packages/gateway/src/tests/configuration/configuration-changes.test.ts
@@ -17,6 +17,19 @@
 	}), {seed: 11});
 });
 
+// Guards against keys that are lost from objects that serve as maps, or found in those that lack them.
+test('changes keep keys that are names of properties of every object', t => {
+	const names = ['__proto__', 'constructor', 'toString'];
+	const texts = [[], names.slice(0, 2), names].flatMap(keys => [0, [1], [1, 2]].map(value => JSON.stringify(Object.fromEntries(['version', ...keys].map(key => [key, value])))));
+	for (const before of texts) {
+		for (const after of texts) {
+			t.is(applyConfigurationChanges(before, createConfigurationChanges(before, after)), after);
+		}
+	}
+
+	t.is(applyConfigurationChanges('{}', '{"keys":["constructor","__proto__"],"lists":{},"values":{}}'), '{}');
+});
+
 test('malformed changes give no configuration', t => {
 	for (const changes of ['{}', '[]', '{"keys":["a"],"lists":{"a":[{"copy":"x"}]},"values":{}}']) {
 		t.is(applyConfigurationChanges('{"a":[1]}', changes), undefined);
--- a/packages/gateway/src/tests/limits/limits.test.ts
+++ b/packages/gateway/src/tests/limits/limits.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import {TestCluster} from '../fakes/test-cluster.js';
+import {countAllowedPerWindow} from '@chicorysaddle/decisions';
+import {createConfiguration, TestCluster} from '../fakes/test-cluster.js';
 import {
 	countAcceptedPerWindow, countMaxOperationsPerWindow, createLimitedConfiguration, sendAtRate,
 } from './limit-load.js';
@@ -99,3 +100,19 @@
 	t.true(cluster.database.events.length > 300, 'the account is served before and after the restart');
 	cluster.stop();
 });
+
+// Guards against names that are lost from objects that serve as maps, or found in those that lack them.
+for (const name of ['__proto__', 'constructor', 'toString']) {
+	test.serial(`an account gets its limit, and not more, if its name is ${name}`, async t => {
+		const cluster = new TestCluster();
+		cluster.database.options.serviceMs = 1;
+		const {accounts} = createLimitedConfiguration(40, 40);
+		await cluster.start(createConfiguration(1, {accounts: [{...accounts[0]!, name}]}));
+		const {sent, refused} = await sendAtRate(cluster, () => ['vm1', 'vm2', 'vm3'], 200, 12_000);
+		cluster.stop();
+		const limit = {ratePerS: 40, burst: 40};
+		t.true(countMaxOperationsPerWindow(cluster) <= countAcceptedPerWindow(limit), `${countMaxOperationsPerWindow(cluster)} in a window`);
+		t.true(sent - refused >= countAllowedPerWindow(limit, 5000) * 2, `${sent - refused} of ${sent}`);
+		t.is(['vm1', 'vm2', 'vm3'].reduce((sum, vm) => sum + cluster.getGateway(vm).metrics.getCount('limit_admitted_locally'), 0), 0);
+	});
+}
--- a/packages/model/src/values/value-codecs.ts
+++ b/packages/model/src/values/value-codecs.ts
@@ -45,3 +45,34 @@
 		encode: listCodec.encode,
 	});
 }
+
+/** Creates the codec of an object that serves as a map of names from outside: any name is kept as a property of its own, also `__proto__`. */
+export function createMapCodec<T>(valueCodec: Codec<T>): Codec<Record<string, T>> {
+	return Codec.custom<Record<string, T>>({
+		decode(input): Either<string, Record<string, T>> {
+			if (typeof input !== 'object' || input === null || Array.isArray(input)) {
+				return Left(`Expected an object, but received ${Array.isArray(input) ? 'an array' : `a ${input === null ? 'null' : typeof input}`}`);
+			}
+
+			const map: Record<string, T> = {};
+			for (const [name, value] of Object.entries(input)) {
+				const decoded = valueCodec.decode(value);
+				if (decoded.isLeft()) {
+					return Left(`Problem with the value of property "${name}": ${decoded.extract()}`);
+				}
+
+				const element = decoded.unsafeCoerce();
+				if (name === '__proto__') {
+					Object.defineProperty(map, name, {
+						value: element, enumerable: true, configurable: true, writable: true,
+					});
+				} else {
+					map[name] = element;
+				}
+			}
+
+			return Right(map);
+		},
+		encode: map => map,
+	});
+}
--- a/packages/protocol/src/coordination/forwarding-messages.ts
+++ b/packages/protocol/src/coordination/forwarding-messages.ts
@@ -1,6 +1,6 @@
-import {finiteNumberCodec} from '@chicorysaddle/model';
+import {createMapCodec, finiteNumberCodec} from '@chicorysaddle/model';
 import {
-	array, boolean, Codec, exactly, type GetType, oneOf, optional, record, string,
+	array, boolean, Codec, exactly, type GetType, oneOf, optional, string,
 } from 'purify-ts';
 import {positionCodec} from './position-codec.js';
 
@@ -45,7 +45,7 @@
 	/** Time until which the answer is awaited, in milliseconds. */
 	runMs: finiteNumberCodec,
 	/** Session values, with the id of the session on the link and the version of the values; absent if there are none. */
-	session: optional(Codec.interface({id: finiteNumberCodec, version: finiteNumberCodec, values: record(string, string)})),
+	session: optional(Codec.interface({id: finiteNumberCodec, version: finiteNumberCodec, values: createMapCodec(string)})),
 	/** Definition of the prepared statement that is executed. */
 	prepared: optional(Codec.interface({access: accessCodec, shape: string})),
 	/** Transaction to which the statement belongs; absent outside transactions. */
--- a/packages/protocol/src/coordination/messages.ts
+++ b/packages/protocol/src/coordination/messages.ts
@@ -1,6 +1,6 @@
-import {countCodec, finiteNumberCodec} from '@chicorysaddle/model';
+import {countCodec, createMapCodec, finiteNumberCodec} from '@chicorysaddle/model';
 import {
-	array, boolean, Codec, exactly, type GetType, oneOf, optional, record, string, tuple,
+	array, boolean, Codec, exactly, type GetType, oneOf, optional, string, tuple,
 } from 'purify-ts';
 import {
 	forwardAnswerCodec, forwardCancelCodec, forwardCodec, forwardEndCodec, forwardOpenCodec, forwardOpenedCodec, forwardProgressCodec,
@@ -68,7 +68,7 @@
  * Load of one queue of a group: group, target, waiting requests of the classes high, normal and low, placements per second of these classes, number of accounts
  * that have waiting requests, and the waiting requests of those that have the most.
  */
-const queueLoadCodec = tuple([string, oneOf([exactly('primary'), exactly('any')]), classNumbersCodec, classNumbersCodec, finiteNumberCodec, record(string, finiteNumberCodec)]);
+const queueLoadCodec = tuple([string, oneOf([exactly('primary'), exactly('any')]), classNumbersCodec, classNumbersCodec, finiteNumberCodec, createMapCodec(finiteNumberCodec)]);
 
 /** Load of a queue, summed over VMs, the number of VMs on which requests wait, and the mean age when the message was sent, in milliseconds. */
 const summedLoadCodec = Codec.interface({load: queueLoadCodec, vms: finiteNumberCodec, ageMs: finiteNumberCodec});
@@ -88,12 +88,12 @@
 	vm: string,
 	incarnation: string,
 	sequence: finiteNumberCodec,
-	positions: record(string, positionReportCodec),
-	evidence: record(string, evidenceReportCodec),
+	positions: createMapCodec(positionReportCodec),
+	evidence: createMapCodec(evidenceReportCodec),
 	/** Newest revision of each group's term that this VM has adopted, without the store's era; former builds read only this. */
-	revisions: record(string, finiteNumberCodec),
+	revisions: createMapCodec(finiteNumberCodec),
 	/** The same with the store's era. */
-	storeRevisions: optional(record(string, finiteNumberCodec)),
+	storeRevisions: optional(createMapCodec(finiteNumberCodec)),
 	configurationVersion: finiteNumberCodec,
 	/** Version of the evacuated zones that this VM knows; absent if it never knew of an evacuation. */
 	evacuationVersion: optional(finiteNumberCodec),
@@ -102,7 +102,7 @@
 	configurationTransfer: optional(configurationTransferCodec),
 	echo: optional(echoCodec),
 	/** Writes per second that the sender sends to the primary of each group; absent if there are none, or all zones are in one region. */
-	writesPerS: optional(record(string, finiteNumberCodec)),
+	writesPerS: optional(createMapCodec(finiteNumberCodec)),
 	/** Loads of the queues in which requests wait; absent if there are none. */
 	loads: optional(array(queueLoadCodec)),
 	/** Whether the sender reads compact reports; absent means false. */
@@ -139,9 +139,9 @@
 	base: finiteNumberCodec,
 	sequence: finiteNumberCodec,
 	positions: array(compactPositionCodec),
-	evidence: record(string, evidenceReportCodec),
+	evidence: createMapCodec(evidenceReportCodec),
 	/** Revisions of terms, with the store's era. */
-	revisions: record(string, finiteNumberCodec),
+	revisions: createMapCodec(finiteNumberCodec),
 	configurationVersion: finiteNumberCodec,
 	evacuationVersion: optional(finiteNumberCodec),
 	instanceRevision: optional(string),
@@ -149,7 +149,7 @@
 	memberRevision: optional(string),
 	echo: optional(echoCodec),
 	/** Writes per second that the sender sends to the primary of each group; absent if there are none, or all zones are in one region. */
-	writesPerS: optional(record(string, finiteNumberCodec)),
+	writesPerS: optional(createMapCodec(finiteNumberCodec)),
 	/** Loads of all queues in which requests wait, also unchanged ones; absent if there are none. */
 	loads: optional(array(queueLoadCodec)),
 });
@@ -190,7 +190,7 @@
 		base: string, revision: string, changed: array(instanceEntryCodec), removedIds: array(string),
 	})),
 	/** Newest positions; empty in a compact report. */
-	positions: record(string, positionReportCodec),
+	positions: createMapCodec(positionReportCodec),
 	/** Positions that were learned since the report that the heartbeat echoes, or all; only in a compact report. */
 	compactPositions: optional(array(compactPositionCodec)),
 	configurationVersion: finiteNumberCodec,
@@ -263,14 +263,14 @@
  * `admitted` are the operations of the last window that the sender admitted without tokens and has not reported yet, absent if there are none.
  */
 export const tokenRequestCodec = Codec.interface({
-	kind: exactly('token-request'), vm: string, sequence: finiteNumberCodec, wants: record(string, Codec.interface({
+	kind: exactly('token-request'), vm: string, sequence: finiteNumberCodec, wants: createMapCodec(Codec.interface({
 		needed: finiteNumberCodec, urgent: optional(finiteNumberCodec), extra: finiteNumberCodec, admitted: optional(usageCountsCodec),
 	})),
 });
 
 /** Codec of a response with rate limit tokens by account, the time until there are more, in milliseconds, and the operations that the account has left in its window; a former build does not state those. */
 export const tokenGrantCodec = Codec.interface({
-	kind: exactly('token-grant'), sequence: finiteNumberCodec, grants: record(string, Codec.interface({
+	kind: exactly('token-grant'), sequence: finiteNumberCodec, grants: createMapCodec(Codec.interface({
 		count: finiteNumberCodec, waitMs: finiteNumberCodec, free: optional(finiteNumberCodec), used: optional(finiteNumberCodec),
 	})),
 });
