Forwarding: a VM forgets the gateways of instances and accounts that are gone

What operators would have seen: where connections are scarce, memory that grows with every instance and account that ever was there, for as long as the VMs stay the same. Cause: the gateways that were chosen for an instance and its accounts were forgotten only when the list of members changed. Change: they are forgotten also with the instance, and at a new version of the configuration, after which they are chosen again when they are needed.

--- a/packages/gateway/src/forwarding/gateway-directory.ts
+++ b/packages/gateway/src/forwarding/gateway-directory.ts
@@ -35,6 +35,8 @@
 	#entries: readonly MemberEntry[] = [];
 	#revision: string | undefined;
 	#memberCount = 1;
+	/** Version of the configuration for which the gateways are known: a later one may lack some of their accounts. */
+	#configurationVersion = 0;
 	readonly #gatewaysByInstance = new Map<string, InstanceGateways>();
 
 	constructor(private readonly dependencies: GatewayDirectoryDependencies) {}
@@ -114,11 +116,22 @@
 			: {kind: 'rest', capacity: connections * (1 - gatewayFraction), vms: Math.max(1, this.#memberCount - gateways.length)};
 	}
 
+	/** Forgets the gateways of an instance that is gone. */
+	removeInstance(id: string): void {
+		this.#gatewaysByInstance.delete(id);
+	}
+
 	#getConnections(group: string): number {
 		return this.dependencies.configuration.getGroup(group)?.maxConnections ?? Number.POSITIVE_INFINITY;
 	}
 
 	#getInstanceGateways(instance: Instance): InstanceGateways {
+		const {version} = this.dependencies.configuration;
+		if (version !== this.#configurationVersion) {
+			this.#configurationVersion = version;
+			this.#gatewaysByInstance.clear();
+		}
+
 		const connections = this.#getConnections(instance.group);
 		const known = this.#gatewaysByInstance.get(instance.id);
 		if (known?.connections === connections && known.zone === instance.zone) {
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -93,6 +93,12 @@
 	const dispatcher = new Dispatcher({
 		configuration, instances, guard, terms, connector, clock, metrics, log, distance: new NetworkDistance(identity.zone, identity.regions, clock, metrics), random: Math.random, getSettings, router: forwardingClient, tasks,
 	});
+	// After the dispatcher, which asks for the gateways of an instance until it has closed its connections.
+	instances.onChanged(tasks.createCallback('gateway directory', (before, after) => {
+		if (before !== undefined && after === undefined) {
+			directory.removeInstance(before.id);
+		}
+	}));
 	const forwarding = forwardingClient && new Forwarding(directory, forwardingClient, new ForwardingServer({
 		directory, configuration, dispatcher, runner: new StatementRunner({
 			clock, dispatcher, metrics, terms,
