Tests: the backlog of the admission tests no longer advances time, nor goes on in the next test

What was seen: "a VM refuses at once ..., without forwarding" depended on the jitter and on the tests before it (in the file, seeds 5, 6, 9 and 12 of 20 failed).

Cause: `sendBacklog` advanced virtual time itself, beside the test. Time passed twice as fast as the stated load, 30 instead of 60 writes a second. A test that ended before its backlog left the loop running: it ticked the mocked timers of the next test but not its clock. Run alone, the old test failed with seeds 7 and 19 of 1 to 20, and in most runs the process ended with a non-zero code because of the loop.

Change: the backlog is sent from timers of virtual time, at the stated 60 writes a second. Checks are unchanged; the test runs with seeds 1, 5, 6, 9 and 12.

Evidence: seeds 1 to 20 hold, alone and in the file (5 of 18 refused operations had waited, with each); the file holds in reverse order too. "while the coordinator is away ..." holds with forwarding as well (seeds 1 to 20), so it is no longer marked failing.

At half the load, which the tests ran under by accident, the check fails in 16 of 20 seeds (all refused operations held): the loads state 34.9 placements a second where the primary serves 20, so waits are underestimated.

--- a/packages/gateway/src/tests/admission/group-admission.test.ts
+++ b/packages/gateway/src/tests/admission/group-admission.test.ts
@@ -49,18 +49,28 @@
 	return cluster;
 }
 
-/** Fills the queues of VMs at 60 writes a second together for a while. */
-async function sendBacklog(cluster: TestCluster, vms: readonly string[], durationMs: number): Promise<Array<Promise<Reply>>> {
+/** Fills the queues of VMs with three writes in each interval, by default 60 a second, for a while, from the timers of virtual time, which the test advances. */
+async function sendBacklog(cluster: TestCluster, vms: readonly string[], durationMs: number, intervalMs = 50): Promise<Array<Promise<Reply>>> {
 	const replies: Array<Promise<Reply>> = [];
-	for (let passed = 0; passed < durationMs; passed += 50) {
+	const sendWrites = () => {
 		for (let count = 0; count < 3; count++) {
 			replies.push(sendWrite(cluster, vms[replies.length % vms.length]!, 'patient', accounts[replies.length % accounts.length]!));
 		}
+	};
 
-		await cluster.time.advance(50);
-	}
-
-	return replies;
+	sendWrites();
+	let passed = intervalMs;
+	return new Promise(resolve => {
+		const timer = setInterval(() => {
+			if (passed < durationMs) {
+				passed += intervalMs;
+				sendWrites();
+			} else {
+				clearInterval(timer);
+				resolve(replies);
+			}
+		}, intervalMs);
+	});
 }
 
 /** Sends writes of limited patience and of several accounts through a VM, one every 100 ms. */
@@ -97,10 +107,10 @@
 	mock.restoreAll();
 });
 
-const testHopelessRequests = test.macro(async (t, isForwardingEnabled: boolean, seed: number) => {
+const testHopelessRequests = test.macro(async (t, isForwardingEnabled: boolean, seed: number, backlogIntervalMs: number) => {
 	const cluster = await startCluster(2, 2, isForwardingEnabled, seed);
 	const {busy, other} = chooseVms(cluster);
-	void sendBacklog(cluster, busy, 10_000);
+	void sendBacklog(cluster, busy, 10_000, backlogIntervalMs);
 	await cluster.time.advance(4000);
 	const replies = await sendBurst(cluster, other, 30);
 	const held = replies.filter(reply => isRefused(reply) && reply.waitedMs > 100);
@@ -116,8 +126,13 @@
 	cluster.stop();
 });
 
-test.serial.failing('a VM refuses at once what cannot be served because other VMs have long queues, instead of holding it until its deadline', testHopelessRequests, true, 1);
-test.serial('a VM refuses at once what cannot be served because other VMs have long queues, instead of holding it until its deadline, without forwarding', testHopelessRequests, false, 1);
+test.serial.failing('a VM refuses at once what cannot be served because other VMs have long queues, instead of holding it until its deadline', testHopelessRequests, true, 1, 50);
+for (const seed of [1, 5, 6, 9, 12]) {
+	test.serial(`a VM refuses at once what cannot be served because other VMs have long queues, instead of holding it until its deadline, without forwarding (seed ${seed})`, testHopelessRequests, false, seed, 50);
+}
+
+// Guards against a wait that is underestimated because more placements are counted than the primary serves.
+test.serial.failing('a VM refuses at once what cannot be served because other VMs have long queues, at half the load, without forwarding', testHopelessRequests, false, 1, 100);
 
 const testEmptyQueue = test.macro(async (t, isForwardingEnabled: boolean) => {
 	const cluster = await startCluster(2, 2, isForwardingEnabled);
@@ -161,7 +176,7 @@
 	cluster.stop();
 });
 
-test.serial.failing('while the coordinator is away a VM decides by its own queue, as if nothing waited elsewhere', testAbsentCoordinator, true);
+test.serial('while the coordinator is away a VM decides by its own queue, as if nothing waited elsewhere', testAbsentCoordinator, true);
 test.serial('while the coordinator is away a VM decides by its own queue, as if nothing waited elsewhere, without forwarding', testAbsentCoordinator, false);
 
 test.serial('while nothing waits no message states a load, and a queue that has emptied is no longer stated', async t => {
@@ -179,7 +194,7 @@
 	}
 
 	t.is(stated, 0);
-	const replies = await sendBacklog(cluster, busy, 1500);
+	const replies = await cluster.time.waitFor(sendBacklog(cluster, busy, 1500));
 	t.true(stated > 0);
 	await cluster.time.waitFor(Promise.all(replies));
 	await cluster.time.advance(3000);
