Gateway: an order of a promotion without an answer is repeated before another instance is ordered

What callers saw: a write was acknowledged at an instance after its successor had taken effect, when the platform performed a promotion call seconds after the call had timed out. Commits at that instance could be missing at the successor.

Cause: after 4 s without an effect the coordinator ordered the next candidate, also where the platform had never answered the first order. Only an order of another coordinator counted as one that may still take effect.

Change: the coordinator keeps the order without an answer as pending. It is repeated first, and no other instance is ordered or confirmed in that attempt, until the platform answers, or the ordered instance no longer answers, leaves or lies in an evacuated zone. A late order for the present primary changes nothing, so the late call is harmless while that instance leads.

Cost: none for an order that is answered. Where it is not, the group waits for that instance: up to 6.5 s an attempt, and no other candidate is tried. A rejected repetition leads to the next candidate at once, as before.

--- a/packages/gateway/src/coordination/successor-promoter.ts
+++ b/packages/gateway/src/coordination/successor-promoter.ts
@@ -54,6 +54,9 @@
 
 /** Chooses the successor of a primary whose term has closed, and promotes it. */
 export class SuccessorPromoter {
+	/** Instances whose last order has no answer that this VM knows of, by group: the platform may still perform it. */
+	readonly #unansweredOrders = new Map<string, string>();
+
 	constructor(private readonly dependencies: SuccessorPromoterDependencies) {}
 
 	/** Finds the primary that the record of an interrupted change names; returns undefined if the record does not tell, or the former primary is to be replaced. */
@@ -82,6 +85,11 @@
 		const formerId = getFormerPrimaryId(closedTerm);
 		const position = readings.find(({instance, status}) => instance.id === formerId && status.role === 'primary')?.status.position ?? this.#getCutOffPosition(closedTerm);
 		const candidates = this.#rankCandidates(closedTerm, readings.filter(({instance}) => instance.state === 'ready' && (isResumed || instance.id !== formerId)), {isResumed, canCatchUp: position !== undefined});
+		const pendingOrder = this.#getPendingOrder(closedTerm);
+		if (pendingOrder !== undefined) {
+			this.#unansweredOrders.set(closedTerm.group, pendingOrder.instanceId);
+		}
+
 		const newestTerm = Math.max(closedTerm.term, ...readings.map(({status}) => status.term));
 		let term = closedTerm;
 		for (const [index, candidate] of candidates.entries()) {
@@ -103,6 +111,11 @@
 			if (promoted !== undefined) {
 				return {...promoted, revision: term.revision};
 			}
+
+			if (this.#unansweredOrders.has(term.group) && this.#canPromote(candidate.instance)) {
+				// Once another instance is in use, the platform must not perform this order; the next attempt repeats it first.
+				return undefined;
+			}
 		}
 
 		return undefined;
@@ -150,9 +163,11 @@
 		return isResumed ? rankResumedCandidates(createRoles(ranked), closedTerm.term, this.#getPendingOrder(closedTerm)?.instanceId).map(({reading}) => reading) : ranked;
 	}
 
-	/** Returns the last order if another coordinator gave it, so that it may still take effect; this one has waited for its own orders. */
-	#getPendingOrder({promotion}: StoredTerm): PromotionOrder | undefined {
-		return promotion?.token === this.dependencies.coordinatorLease.token ? undefined : promotion?.order;
+	/** Returns the last order if it may still take effect: another coordinator gave it, or this one has got no answer. */
+	#getPendingOrder({group, promotion}: StoredTerm): PromotionOrder | undefined {
+		const order = promotion?.order;
+		const isSettled = promotion?.token === this.dependencies.coordinatorLease.token && this.#unansweredOrders.get(group) !== order?.instanceId;
+		return isSettled ? undefined : order;
 	}
 
 	/** Returns the newest known position of a primary that cannot be asked because its zone is evacuated, undefined for any other primary. */
@@ -184,6 +199,10 @@
 		const {clock, promotionService, coordinatorLease, vm, log} = this.dependencies;
 		const {instance} = candidate;
 		const deadline = clock.now() + promotionEffectTimeoutMs;
+		if (this.#unansweredOrders.get(group) !== instance.id) {
+			this.#unansweredOrders.delete(group);
+		}
+
 		while (clock.now() < deadline && this.#canPromote(instance)) {
 			const {token} = coordinatorLease;
 			const result = await promotionService.promote({
@@ -192,11 +211,17 @@
 			log.logEvent('promotion.ordered', {
 				group, instance: instance.id, token, result,
 			});
+			if (result === 'unknown') {
+				this.#unansweredOrders.set(group, instance.id);
+			}
+
 			if (result === 'rejected') {
+				this.#unansweredOrders.delete(group);
 				return undefined;
 			}
 
 			if (result === 'accepted') {
+				this.#unansweredOrders.delete(group);
 				return this.#waitUntilPrimary(candidate, order, deadline);
 			}
 
--- /dev/null
+++ b/packages/gateway/src/tests/coordination/late-promotion.test.ts
@@ -0,0 +1,90 @@
+import test from 'ava';
+import {TestCluster, type TestCaller} from '../fakes/test-cluster.js';
+import {isServed, writeUntil} from './write-load.js';
+
+/** Returns the commits of instances whose successor had taken effect before. */
+function findFormerCommits({database: {events, promotions}}: TestCluster): string[] {
+	return events.flatMap(({kind, instanceId, position, at}) => {
+		const promotion = kind === 'commit' ? promotions.find(({term, at: promotedAt}) => term > position.term && promotedAt < at) : undefined;
+		return promotion === undefined ? [] : [`${instanceId} in term ${position.term} ${at - promotion.at} ms after term ${promotion.term} had begun`];
+	});
+}
+
+/** Starts a cluster whose primary falls silent while the platform does not answer promotion calls, and performs them later. */
+async function startLatePromotion(lateMs = 7000): Promise<{readonly cluster: TestCluster; readonly callers: readonly TestCaller[]}> {
+	const cluster = new TestCluster(['vm1', 'vm2', 'vm3']);
+	const {database} = cluster;
+	Object.assign(database.options, {promoteMs: 600, stepDownMs: 1000});
+	await cluster.start();
+	const coordinator = cluster.getCoordinator();
+	const callers = [...cluster.gateways.keys()].filter(vm => vm !== coordinator).map(vm => cluster.openSession(vm, 'strict'));
+	await isServed(cluster, callers, 1000);
+	database.promotionFault = 'late';
+	database.lateMs = lateMs;
+	database.primary.isDark = true;
+	await writeUntil(cluster, callers, 5000, () => database.promotionRequests.length > 0);
+	return {cluster, callers};
+}
+
+// Guards against writes at an instance that was promoted in place of one whose order the platform had not answered, and performs later.
+test.serial('no write is acknowledged at an instance after an earlier order without an answer has taken effect', async t => {
+	const {cluster, callers} = await startLatePromotion();
+	const {database} = cluster;
+	const ordered = database.promotionRequests[0]!.instanceId;
+	await writeUntil(cluster, callers, 4500, () => false);
+	database.promotionFault = 'none';
+	t.true(await isServed(cluster, callers, 4000));
+	await writeUntil(cluster, callers, 8000, () => false);
+	t.deepEqual(findFormerCommits(cluster).slice(0, 3), []);
+	t.is(database.primary.id, ordered);
+	t.is(cluster.getTermRow().primaryId, ordered);
+	cluster.stop();
+});
+
+// Guards against the same at the former primary, which is a candidate again once it answers.
+test.serial('no write is acknowledged at the former primary after an order without an answer has taken effect', async t => {
+	const {cluster, callers} = await startLatePromotion(16_000);
+	const {database} = cluster;
+	const former = database.primary;
+	const ordered = database.promotionRequests[0]!.instanceId;
+	await writeUntil(cluster, callers, 6000, () => false);
+	former.isDark = false;
+	await writeUntil(cluster, callers, 4300, () => false);
+	database.promotionFault = 'none';
+	t.true(await isServed(cluster, callers, 6000));
+	await writeUntil(cluster, callers, 14_000, () => false);
+	t.deepEqual(findFormerCommits(cluster).slice(0, 3), []);
+	t.is(cluster.getTermRow().primaryId, ordered);
+	cluster.stop();
+});
+
+// Guards against a group that waits for an instance that the platform has said not to run.
+test.serial('after a rejected repetition of an order another instance is promoted at once', async t => {
+	const {cluster, callers} = await startLatePromotion();
+	const {database} = cluster;
+	const ordered = database.instances.find(({id}) => id === database.promotionRequests[0]!.instanceId)!;
+	await cluster.time.advance(2000);
+	ordered.crash();
+	database.promotionFault = 'none';
+	t.true(await isServed(cluster, callers, 2500));
+	t.not(cluster.getTermRow().primaryId, ordered.id);
+	await writeUntil(cluster, callers, 8000, () => false);
+	t.deepEqual(findFormerCommits(cluster).slice(0, 3), []);
+	cluster.stop();
+});
+
+// Guards against the same where the ordered instance does not answer for a while, so that another one is promoted meanwhile.
+test.serial.failing('no write is acknowledged at an instance after an order without an answer for one that was silent has taken effect', async t => {
+	const {cluster, callers} = await startLatePromotion();
+	const {database} = cluster;
+	const ordered = database.instances.find(({id}) => id === database.promotionRequests[0]!.instanceId)!;
+	ordered.isDark = true;
+	await writeUntil(cluster, callers, 4500, () => false);
+	database.promotionFault = 'none';
+	await isServed(cluster, callers, 4000);
+	ordered.isDark = false;
+	await writeUntil(cluster, callers, 8000, () => false);
+	const commits = findFormerCommits(cluster);
+	cluster.stop();
+	t.deepEqual(commits.slice(0, 3), []);
+});
--- a/packages/gateway/src/tests/fakes/fake-database.ts
+++ b/packages/gateway/src/tests/fakes/fake-database.ts
@@ -147,8 +147,10 @@
 	readonly unreachablePairs = new Set<string>();
 	/** Errors to inject into the next statements of a kind; `lost-before` and `lost-after` close the connection before or after the statement is run. */
 	readonly plannedErrors: Array<{readonly kind: string; readonly error: InstanceErrorKind | 'lost-after' | 'lost-before'}> = [];
-	/** Fault of promotion calls: `lost` performs none and answers none, `answers-lost` only loses the answers. */
-	promotionFault: 'none' | 'lost' | 'answers-lost' = 'none';
+	/** Fault of promotion calls: `lost` performs none and answers none, `answers-lost` only loses the answers, `late` also performs them after `lateMs`. */
+	promotionFault: 'none' | 'lost' | 'answers-lost' | 'late' = 'none';
+	/** Time until a promotion call with the fault `late` is performed, in milliseconds. */
+	lateMs = 0;
 	term = 1;
 
 	constructor(readonly group: string, count: number, private readonly getNow: () => number, readonly options: FakeDatabaseOptions) {
@@ -237,8 +239,8 @@
 			}
 
 			this.scheduleStepDowns();
-		}, this.options.promoteMs);
-		if (promotionFault === 'answers-lost') {
+		}, this.options.promoteMs + (promotionFault === 'late' ? this.lateMs : 0));
+		if (promotionFault !== 'none') {
 			await pause(unansweredMs);
 			return 'unknown';
 		}
