Forwarding: a link forgets rejections that are over

What operators would have seen: memory that grows with every instance of which a gateway once rejected an operation, for as long as the gateway stays. Cause: the times until which operations on an instance are not sent were never removed. Change: a rejection removes those that have passed.

--- a/packages/gateway/src/forwarding/gateway-link.ts
+++ b/packages/gateway/src/forwarding/gateway-link.ts
@@ -288,11 +288,22 @@
 		if (reason === 'draining') {
 			this.#recordFailure('draining');
 		} else {
-			this.#refusedUntil.set(instanceId, now + refusalBackoffMs);
+			this.#recordRefusal(instanceId, now);
 			this.dependencies.metrics.addCount('forward_failed_refused');
 		}
 	}
 
+	/** Records until when operations on an instance are not sent, and forgets the times that have passed. */
+	#recordRefusal(instanceId: string, now: number): void {
+		for (const [id, until] of this.#refusedUntil) {
+			if (now >= until) {
+				this.#refusedUntil.delete(id);
+			}
+		}
+
+		this.#refusedUntil.set(instanceId, now + refusalBackoffMs);
+	}
+
 	#recordFailure(reason: ForwardFailure): void {
 		const now = this.dependencies.clock.now();
 		this.#policy.recordFailure(reason, now);
