Evacuation: a VM forgets evacuations that ended long ago

What operators would have seen: a list that grows with every availability zone that was ever evacuated; it is as short as the list of zones unless these change their names. Change: when another evacuation ends, the ends of those that ended more than a minute before are forgotten. A return takes seconds, and its end and the absence of one mean the same.

--- a/packages/gateway/src/evacuation/evacuation-registry.ts
+++ b/packages/gateway/src/evacuation/evacuation-registry.ts
@@ -15,6 +15,9 @@
 /** Maximum time since the last reading for which a change that a poll returns counts as just made, in milliseconds: longer than a poll waits. */
 const maxPollGapMs = 6000;
 
+/** Time for which the end of an evacuation is remembered, in milliseconds: longer than a return takes. */
+const returnRetentionMs = 60_000;
+
 /** Availability zones that are evacuated as far as this VM knows, from the store or from the coordinator's reports. */
 export class EvacuationRegistry {
 	/** Monotonic time since which each evacuated zone is known or assumed to be evacuated, in milliseconds. */
@@ -59,7 +62,7 @@
 		return since === undefined ? undefined : this.clock.now() - since;
 	}
 
-	/** Returns the time since the last evacuation of a zone ended, in milliseconds; undefined if it is evacuated or never was. */
+	/** Returns the time since the last evacuation of a zone ended, in milliseconds; undefined if it is evacuated, or was not lately. */
 	getReturnedForMs(zone: string): number | undefined {
 		const endedAt = this.#endedAt.get(zone);
 		return endedAt === undefined ? undefined : this.clock.now() - endedAt;
@@ -128,9 +131,16 @@
 			this.#endedAt.delete(zone);
 		}
 
+		const now = this.clock.now();
+		for (const [zone, endedAt] of ended.length === 0 ? [] : this.#endedAt) {
+			if (now - endedAt > returnRetentionMs) {
+				this.#endedAt.delete(zone);
+			}
+		}
+
 		for (const zone of ended) {
 			this.#since.delete(zone);
-			this.#endedAt.set(zone, this.clock.now());
+			this.#endedAt.set(zone, now);
 		}
 
 		if (begun.length > 0 || ended.length > 0) {
