Coordination: instances that were read while the lease was interrupted are reported

What callers saw: VMs that are never ready, so that the deployment does not start on them, although store, configuration and instances are there; later, VMs with an outdated list of instances until its next change.

Cause: a coordinator publishes its list of instances when it changes while the lease is held, and when it acquires the lease. A jump of the time of day by seconds makes the lease count as ended, and a jump back or a renewal on its way makes it count as held again without an acquisition. A list that was read between the two was never published.

Change: a change of the list while the lease is not held is remembered and published in the next tick in which it is. A VM that is not the coordinator only sets a flag.

--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -125,6 +125,8 @@
 	#isHeartbeatUrgent = false;
 	/** Whether the next tick sends reports, since the instances have changed. */
 	#isReportPushDue = false;
+	/** Whether the instances have changed while this VM did not hold the lease; it may hold it again without acquiring it. */
+	#isPublicationDue = false;
 	#isLeaving = false;
 	#handOverOfferedAt = 0;
 	#reachabilityCheck: Promise<boolean> | undefined;
@@ -189,6 +191,8 @@
 			if (dependencies.coordinatorLease.isHeld()) {
 				this.#publishInstances();
 				this.#isReportPushDue = true;
+			} else {
+				this.#isPublicationDue = true;
 			}
 		}));
 	}
@@ -293,6 +297,11 @@
 			this.dependencies.configurationWatcher.setPolling(true);
 			this.dependencies.terms.renewLease(this.dependencies.terms.getClockReading());
 		});
+		tasks.tryCall('heartbeat', () => {
+			if (this.#isPublicationDue) {
+				this.#publishInstances();
+			}
+		});
 		this.#handleOwnHeartbeatIfDue(now);
 		tasks.tryCall('heartbeat', () => {
 			this.#pushReportsIfDue();
@@ -668,6 +677,7 @@
 
 	/** Sets the instances that this VM reports when it is the coordinator, if it has read a list. */
 	#publishInstances(): void {
+		this.#isPublicationDue = false;
 		if (this.dependencies.instances.appliedAt !== undefined) {
 			this.dependencies.coordinator.setInstances(this.dependencies.instances.getListedInstances(), this.dependencies.clock.now());
 		}
