Sessions: a statement with a long id is refused

The id of the first statement of a transaction is kept as long as the transaction is open, and is written to the log. It could have 1 MiB, which nothing counted.

An id has at most 200 characters now. A statement with a longer one is refused as invalid before it does anything, and the log has the beginning of its id.

Before the change the new test of tests/sessions/session-memory saw 'acknowledged' in place of 'invalid-request' for an id of 100 kB.

--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -17,6 +17,9 @@
 /** Maximum number of statements of a caller that wait behind the running one. */
 const maxWaitingStatements = 64;
 
+/** Maximum length of the id of a statement, in characters: a transaction keeps that of its first one. */
+const maxIdLength = 200;
+
 /** Idle time after which a closing session is closed, in milliseconds: longer than callers take between two consecutive statements. */
 const idleBeforeCloseMs = 80;
 
@@ -200,6 +203,11 @@
 	async #runHandler(request: StatementRequest, receivedAt: number): Promise<void> {
 		this.#isAnswered = false;
 		const {kind} = request.statement;
+		if (request.id.length > maxIdLength) {
+			this.#refuse(request, refusals.invalid(`an id of ${request.id.length} characters; the limit is ${maxIdLength}`));
+			return;
+		}
+
 		if (this.#state === 'failed-transaction' && !acceptedInFailedTransaction.has(kind)) {
 			const refusal = this.#rollBackRefusal ?? refusals.invalid('the transaction failed; roll it back');
 			this.#rollBackRefusal = undefined;
@@ -481,7 +489,7 @@
 	#refuse(request: StatementRequest, refusal: Refusal, isFinal = false): void {
 		this.dependencies.metrics.addCount(`refused_${refusal.kind}`);
 		this.dependencies.log.logEvent('statement.refused', {
-			connection: this.identity.connectionId, request: request.id, database: this.identity.database, group: this.#getGroup(),
+			connection: this.identity.connectionId, request: request.id.slice(0, maxIdLength), database: this.identity.database, group: this.#getGroup(),
 			statement: request.statement.kind, kind: refusal.kind, why: refusal.message,
 			ran: refusal.details.ran, retryAfterMs: refusal.retryAfterMs, state: this.#state,
 			places: refusal.kind === 'overloaded' ? this.dependencies.dispatcher.formatPoolUsage(this.#getGroup()) : undefined, configuration: this.dependencies.configuration.version,
--- a/packages/gateway/src/tests/fakes/test-cluster.ts
+++ b/packages/gateway/src/tests/fakes/test-cluster.ts
@@ -58,11 +58,11 @@
 	}
 
 	/** Sends a statement without advancing virtual time; resolves with its answer. */
-	async send(statement: Statement): Promise<CallerAnswer> {
+	async send(statement: Statement, id?: string): Promise<CallerAnswer> {
 		this.#requestCount += 1;
 		return new Promise(resolve => {
 			this.#onAnswer = resolve;
-			this.#session!.handleStatement({id: this.requestId, statement});
+			this.#session!.handleStatement({id: id ?? this.requestId, statement});
 		});
 	}
 
--- a/packages/gateway/src/tests/sessions/session-memory.test.ts
+++ b/packages/gateway/src/tests/sessions/session-memory.test.ts
@@ -135,3 +135,18 @@
 	t.not(describeAnswer(await caller.sendAndWait(createExecute('0'.repeat(20)))), 'prepared-not-found');
 	cluster.stop();
 });
+
+// Guards against an id that is kept, uncounted, as long as the transaction that it begins is open.
+test.serial('a statement with a long id is refused as not run, and the session goes on', async t => {
+	const cluster = new TestCluster(['vm1']);
+	await cluster.start();
+	const caller = cluster.openSession('vm1', 'bounded');
+	const refused = await caller.send(begin, '1'.repeat(100_000));
+	t.is(describeAnswer(refused), 'invalid-request');
+	t.is(refused.state, 'idle');
+	t.true(cluster.log.events.every(({fields}) => JSON.stringify(fields).length < 10_000));
+	await cluster.time.advance(1);
+	t.is(describeAnswer(await caller.send(begin, '1'.repeat(200))), 'acknowledged');
+	t.is((await caller.sendAndWait(commit)).result.kind, 'completed');
+	cluster.stop();
+});
