--- a/packages/gateway/src/tests/lifecycle/growth.test.ts
+++ b/packages/gateway/src/tests/lifecycle/growth.test.ts
@@ -58,6 +58,8 @@
 	readonly isReplacing: boolean;
 	readonly otherVms: string[];
 	round: number;
+	/** Calls for random numbers, which the mock records. */
+	readonly randomCalls: {resetCalls: () => void};
 };
 
 async function wait(ms: number): Promise<void> {
@@ -200,7 +202,8 @@
 }
 
 /** Forgets what the fakes recorded. */
-function clearRecords({cluster: {log, network, databases}}: ChurnRun): void {
+function clearRecords({randomCalls, cluster: {log, network, databases}}: ChurnRun): void {
+	randomCalls.resetCalls();
 	log.events.length = 0;
 	network.kinds.length = 0;
 	for (const {events, arrivals, positionedStatements, promotionRequests, promotions} of databases) {
@@ -252,10 +255,10 @@
 // Guards against memory that grows with what was there once: accounts, sessions, instances, VMs, configurations and changes of primary.
 for (const [name, isReplacing] of Object.entries(deployments)) {
 	test.serial(`what a VM keeps does not grow while accounts, sessions and instances come and go, beside ${name}`, async t => {
-		mock.method(Math, 'random', createRandom(1));
+		const {mock: randomCalls} = mock.method(Math, 'random', createRandom(1));
 		const cluster = new TestCluster([measuredVm], {groups: ['db', 'scarce']});
 		const run: ChurnRun = {
-			cluster, random: createRandom(2), isReplacing, otherVms: [], round: 0,
+			cluster, random: createRandom(2), isReplacing, otherVms: [], round: 0, randomCalls,
 		};
 		await cluster.start(createRoundConfiguration(0));
 		while (run.round < earlyRoundCount) {
