--- a/packages/gateway/src/tests/lifecycle/growth.test.ts
+++ b/packages/gateway/src/tests/lifecycle/growth.test.ts
@@ -43,6 +43,10 @@
 	// One complete heartbeat of each VM, with the usage of the accounts of a window.
 	['MemberState.heartbeat{}[]', (1 + otherVmCount) * 2 * addedAccountCount * 3],
 	['MemberState.heartbeat{}[][]', (1 + otherVmCount) * 2 * addedAccountCount * 3 * 51],
+	// Positions of 5 s, 20 ms apart, of two groups; each has two fields, and so has its position.
+	['PositionHistory.#samples', 2 * 251],
+	['PositionHistory.#samples[]{}', 2 * 251 * 2],
+	['PositionHistory.#samples[]{}{}', 2 * 251 * 2],
 	['MemberFeed.#removals', 64],
 	['ReturnSchedule.#schedules', 256],
 	['ReturnSchedule.#schedules[]{}', 256 * 122],
