--- a/packages/gateway/src/tests/fakes/fake-network.ts
+++ b/packages/gateway/src/tests/fakes/fake-network.ts
@@ -19,6 +19,11 @@
 	convertMessage: (from: string, to: string, message: PeerMessage) => PeerMessage | undefined = (_from, _to, message) => message;
 	/** Called with each message that is sent, as text; returns what arrives instead. */
 	rewriteMessage: (text: string, from: string) => string = text => text;
+	/** Runs what a message or the end of a link causes at a VM; tests replace it to delay that. */
+	runAt: (vm: string, callback: () => void) => void = (_vm, callback) => {
+		callback();
+	};
+
 	/** Kinds of the messages sent by all VMs, in order. */
 	readonly kinds: string[] = [];
 	/** Pairs `FROM TO` of VMs in whose direction messages are lost. */
@@ -87,7 +92,10 @@
 		const text = this.network.rewriteMessage(formatPeerMessage(converted), this.from);
 		setTimeout(() => {
 			if (this.isOpen && this.remote?.isOpen === true && !this.network.isCut(this.from, this.to)) {
-				this.remote.handlers?.onMessage(parsePeerMessage(text.trimEnd()));
+				const {handlers} = this.remote;
+				this.network.runAt(this.to, () => {
+					handlers?.onMessage(parsePeerMessage(text.trimEnd()));
+				});
 			}
 		}, this.network.computeDelayMs(this.from, this.to, text.length));
 	}
@@ -95,7 +103,9 @@
 	close(): void {
 		if (this.isOpen) {
 			this.isOpen = false;
-			this.handlers?.onClosed();
+			this.network.runAt(this.from, () => {
+				this.handlers?.onClosed();
+			});
 			// A partition drops the close like any other packet.
 			if (!this.network.isCut(this.from, this.to)) {
 				this.remote?.close();
--- a/packages/gateway/src/tests/lifecycle/start-under-faults.test.ts
+++ b/packages/gateway/src/tests/lifecycle/start-under-faults.test.ts
@@ -4,6 +4,7 @@
 import {type GatewayConfiguration} from '../../configuration/index.js';
 import {type FakeDatabase} from '../fakes/fake-database.js';
 import {createRandom} from '../fakes/seeded-random.js';
+import {Suspensions} from '../fakes/suspensions.js';
 import {createConfiguration, statements, TestCluster} from '../fakes/test-cluster.js';
 
 const groups = ['db', 'other'];
@@ -49,6 +50,7 @@
 /** A start of all VMs under faults. */
 type StartRun = {
 	readonly cluster: TestCluster;
+	readonly suspensions: Suspensions;
 	readonly vms: readonly string[];
 	readonly random: () => number;
 	/** Ids of the instances that have not registered themselves. */
@@ -125,6 +127,10 @@
 	instance.restart();
 }
 
+async function startVm({cluster, suspensions}: StartRun, vm: string): Promise<void> {
+	await suspensions.start(vm, async () => cluster.startVm(vm));
+}
+
 /** Faults by name; each ends by itself and may overlap with others. */
 const faults: Readonly<Record<string, (run: StartRun) => Promise<void>>> = {
 	storeBusy: async run => failStore(run, 'busy'),
@@ -234,7 +240,7 @@
 		const vm = choose(random, vms);
 		cluster.killVm(vm);
 		await wait(200 + (random() * 800));
-		await cluster.startVm(vm);
+		await startVm(run, vm);
 	},
 };
 
@@ -250,6 +256,15 @@
 	}
 }
 
+async function suspendVm(run: StartRun): Promise<void> {
+	const {suspensions, vms, random} = run;
+	await wait(random() * 3000);
+	const vm = choose(random, vms);
+	suspensions.suspend(vm);
+	await endure(run);
+	suspensions.resume(vm);
+}
+
 /** Runs an earlier life of the deployment, which ends with a loss of power: it leaves rows of its processes and of VMs that are gone. */
 async function runFormerLife({cluster, vms, random}: StartRun): Promise<void> {
 	const formerVms = [...vms.filter(() => random() < 0.8), 'gone1', 'gone2'];
@@ -310,7 +325,7 @@
 	}
 
 	const run: StartRun = {
-		cluster, vms, random, unregistered: new Set(), storeCalls: new Map(),
+		cluster, suspensions: new Suspensions(cluster), vms, random, unregistered: new Set(), storeCalls: new Map(),
 	};
 	const {store, time} = cluster;
 	store.onCall = vm => {
@@ -329,7 +344,10 @@
 	const startedAt = time.now();
 	updateEntries(run);
 	const names = Object.keys(faults).filter(() => random() < faultProbability);
+	// Has random numbers of its own, so that the other faults of a seed stay the same.
+	const suspensionRandom = createRandom(seed + 1_000_000);
 	const running = Promise.all([
+		...(suspensionRandom() < faultProbability ? [suspendVm({...run, random: suspensionRandom})] : []),
 		...names.map(async name => {
 			await wait(random() < 0.7 ? 0 : random() * 2000);
 			await faults[name]!(run);
@@ -337,7 +355,7 @@
 		}),
 		...vms.map(async vm => {
 			await wait(random() * startSpreadMs);
-			await cluster.startVm(vm);
+			await startVm(run, vm);
 		}),
 	]);
 	await advanceUntilSettled(run, running);
