Coordination: links to VMs that are gone are closed

What operators would have seen: descriptors and memory that grow with every VM that lost its power or was cut off while it had a link to this one: the state of its forwarded sessions, up to 256 for each link, among them. Cause: nothing is sent on a link that the other side opened, and no end of it arrives. Change: a link without data for a minute is probed (TCP keep-alive).

--- a/packages/gateway/src/coordination/tcp-peer-network.ts
+++ b/packages/gateway/src/coordination/tcp-peer-network.ts
@@ -21,6 +21,9 @@
 /** Memory up to which a link whose VM does not read is left alone, in bytes. */
 const freeUnreadBytes = 16_384;
 
+/** Time without data after which a connection is probed, in milliseconds: a VM that lost its power does not close it. */
+const keepAliveDelayMs = 60_000;
+
 /** Reports an error that closed the link to another VM. */
 export type PeerErrorReporter = (error: Error) => void;
 
@@ -42,6 +45,7 @@
 			this.#fail(new Error(`more than ${maxUnreadBytes} bytes on all links that other VMs have not read`));
 		});
 		socket.setNoDelay(true);
+		socket.setKeepAlive(true, keepAliveDelayMs);
 		socket.setEncoding('utf8');
 		socket.on('data', (chunk: string) => {
 			this.#handleData(chunk);
