Configuration: polls that are answered at once without a change follow each other at intervals

What operators would have seen: a VM that calls the store as fast as it answers, where the store, or what stands before it, answers a long poll at once although nothing has changed. Cause: only failed polls were followed by a delay. Change: a poll that brings no change is followed by the next one 100 ms after its beginning at the earliest; a change is followed by a poll at once, as before.

--- a/packages/gateway/src/configuration/configuration-watcher.ts
+++ b/packages/gateway/src/configuration/configuration-watcher.ts
@@ -14,6 +14,9 @@
 /** Duration of a long poll, in milliseconds; short, so that an unresponsive connection is detected soon. */
 const pollWaitMs = 4000;
 
+/** Minimum time between polls, in milliseconds, unless the former one brought a change: a store may answer at once although nothing has changed. */
+const minPollIntervalMs = 100;
+
 /** Time without a byte after which a store call is abandoned, in addition to the duration of a long poll, in milliseconds. */
 const callTimeoutMs = 1000;
 
@@ -166,6 +169,8 @@
 		while (!this.#isStopped) {
 			// A long poll may hang on a dead connection, so it does not keep `refresh` from reading.
 			this.#isReading = this.#storeVersion === undefined;
+			const intervalEnd = delay(minPollIntervalMs);
+			const versionBefore = this.#storeVersion;
 			let result: StoreResult<VersionedConfiguration>;
 			try {
 				result = await this.#read();
@@ -177,6 +182,9 @@
 				this.#backoff.reset();
 				this.#recordStoreAvailability(true, '');
 				this.#applyReading(result.value);
+				if (this.#storeVersion === versionBefore) {
+					await intervalEnd;
+				}
 			} else {
 				// The next call reads the full configuration: the store's change history may no longer contain the polled version.
 				this.#storeVersion = undefined;
--- a/packages/gateway/src/tests/configuration/configuration-watcher.test.ts
+++ b/packages/gateway/src/tests/configuration/configuration-watcher.test.ts
@@ -84,3 +84,32 @@
 	t.true(metrics.getCount('task_failed') > 0);
 	watcher.stop();
 });
+
+// Guards against a VM that calls the store without a pause, because the store answers each poll at once although nothing has changed.
+test.serial('polls that are answered at once without a change follow each other at intervals, and a change is applied at once', async t => {
+	const time = new VirtualTime();
+	t.teardown(() => {
+		time.stop();
+	});
+	const log = new EventLog('vm1', {write: () => undefined, writableLength: 0});
+	const tasks = new BackgroundTasks(log, new GatewayMetrics(), time);
+	const store = new FakeStore();
+	const client = new FakeStoreClient('vm1', store);
+	const view = new ConfigurationView();
+	const watcher = new ConfigurationWatcher(client, view, {random: () => 0, log, tasks});
+	let polls = 0;
+	const poll = client.pollConfiguration.bind(client);
+	client.pollConfiguration = async (afterVersion, _waitMs, ...rest) => {
+		polls += 1;
+		return poll(afterVersion, 0, ...rest);
+	};
+
+	store.setConfiguration(createConfiguration(1));
+	tasks.runLoop('configuration watch', async () => watcher.run(), () => watcher.isStopped);
+	await time.advance(1000);
+	t.true(polls > 0 && polls <= 10, `${polls} polls in a second`);
+	store.setConfiguration(createConfiguration(2));
+	await time.advance(150);
+	t.is(view.version, 2);
+	watcher.stop();
+});
