Coordinator: only failures that follow each other closely end a tenure

What operators would have seen: coordinator.failing, and a needless change of the coordinator, for a duty that has not come up for long.

Cause: failures of a duty counted until its next success, however long ago they were. A group that is gone has no further success, and a VM that was alone when its check failed resigned as soon as another one joined; five single failures spread over hours counted as a row.

Change: failures more than 20 s apart do not follow each other; the longest interval of a duty is 5 s. Outdated ones are removed.

--- a/packages/gateway/src/coordination/duty-monitor.ts
+++ b/packages/gateway/src/coordination/duty-monitor.ts
@@ -10,6 +10,9 @@
 /** Maximum of that time, in milliseconds. It doubles with each resignation, so that the role passes on rarely where a duty fails on every VM. */
 const maxToleranceMs = 60_000;
 
+/** Maximum time between failures that count as following each other, in milliseconds: several times the longest interval of a duty. */
+const maxFailureGapMs = 20_000;
+
 /** Failures of a duty without a success in between. */
 type Failures = {readonly count: number; readonly startedAt: number; readonly lastAt: number};
 
@@ -61,6 +64,7 @@
 
 	/** Records that a duty failed. */
 	recordFailure(duty: string): void {
+		this.#removeOutdated();
 		const now = this.clock.now();
 		const {count, startedAt} = this.#failures.get(duty) ?? {count: 0, startedAt: now};
 		this.#failures.set(duty, {count: count + 1, startedAt, lastAt: now});
@@ -85,6 +89,7 @@
 
 	/** Returns a duty that has failed each time for longer than is tolerated, undefined if there is none. */
 	findFailingDuty(): FailingDuty | undefined {
+		this.#removeOutdated();
 		for (const [duty, {count, startedAt, lastAt}] of this.#failures) {
 			if (count >= minFailureCount && lastAt - startedAt >= this.#toleranceMs) {
 				return {duty, failures: count, failingMs: lastAt - startedAt};
@@ -105,4 +110,14 @@
 	reset(): void {
 		this.#failures.clear();
 	}
+
+	/** Removes the failures of duties that have not come up since, such as those of a group that is gone. */
+	#removeOutdated(): void {
+		const now = this.clock.now();
+		for (const [duty, {lastAt}] of this.#failures) {
+			if (now - lastAt > maxFailureGapMs) {
+				this.#failures.delete(duty);
+			}
+		}
+	}
 }
