--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -338,7 +338,7 @@
 			log.logEvent('coordinator.failing', {...failing, failingMs: Math.round(failing.failingMs)});
 			metrics.addCount('coordinator_failing');
 			duties.recordResignation(failing.duty);
-			this.#storeMembership.deferCandidacy(failingVmDeferralMs);
+			this.#storeMembership.setDeferred(failingVmDeferralMs);
 			tasks.run('coordinator lease', async () => coordinatorLease.release());
 		}
 	}
--- a/packages/gateway/src/coordination/promoter.ts
+++ b/packages/gateway/src/coordination/promoter.ts
@@ -126,7 +126,7 @@
 	async #checkGroup(group: string, dueHandOvers: ReadonlySet<string>): Promise<void> {
 		this.#groupsInProgress.add(group);
 		try {
-			await this.#ensurePrimary(group, dueHandOvers);
+			await this.#checkPrimary(group, dueHandOvers);
 			this.dependencies.duties.recordSuccess(getGroupDuty(group));
 		} catch (error) {
 			this.dependencies.duties.recordFailure(getGroupDuty(group));
@@ -137,7 +137,7 @@
 		}
 	}
 
-	async #ensurePrimary(group: string, dueHandOvers: ReadonlySet<string>): Promise<void> {
+	async #checkPrimary(group: string, dueHandOvers: ReadonlySet<string>): Promise<void> {
 		const term = this.dependencies.terms.getTerm(group);
 		if (term === undefined) {
 			if (await this.#recordInitialPrimary(group) === undefined) {
--- a/packages/gateway/src/coordination/store-membership.ts
+++ b/packages/gateway/src/coordination/store-membership.ts
@@ -105,7 +105,7 @@
 	}
 
 	/** Lets this VM acquire the lease only if no other VM does, for a while. */
-	deferCandidacy(durationMs: number): void {
+	setDeferred(durationMs: number): void {
 		this.#deferredUntil = this.dependencies.clock.now() + durationMs;
 		this.#vacantSince = undefined;
 	}
--- a/packages/gateway/src/memory/unread-output.ts
+++ b/packages/gateway/src/memory/unread-output.ts
@@ -41,7 +41,7 @@
 				}
 
 				if (!share.trySet(bytes)) {
-					this.#disconnectUntilFits(share, bytes);
+					this.#closeUntilFits(share, bytes);
 				}
 			},
 			remove: () => {
@@ -50,7 +50,7 @@
 		};
 	}
 
-	#disconnectUntilFits(share: BudgetShare, bytes: number): void {
+	#closeUntilFits(share: BudgetShare, bytes: number): void {
 		for (const [slowest, disconnect] of this.#large) {
 			this.#remove(slowest);
 			disconnect();
--- a/packages/gateway/src/sessions/session-definitions.ts
+++ b/packages/gateway/src/sessions/session-definitions.ts
@@ -35,7 +35,7 @@
 
 	/** Sets a value; returns a refusal if it does not fit. */
 	setValue(name: string, value: string): Refusal | undefined {
-		const refusal = this.#hold(measureDefinition(name, value) - measureDefinition(name, this.values.get(name)));
+		const refusal = this.#reserve(measureDefinition(name, value) - measureDefinition(name, this.values.get(name)));
 		if (refusal === undefined) {
 			this.values.set(createCopy(name), createCopy(value));
 			this.valuesVersion += 1;
@@ -51,7 +51,7 @@
 
 	/** Sets a prepared statement; returns a refusal if it does not fit. */
 	setPrepared(name: string, {access, shape}: PreparedStatement): Refusal | undefined {
-		const refusal = this.#hold(measureDefinition(name, shape) - measureDefinition(name, this.#prepared.get(name)?.shape));
+		const refusal = this.#reserve(measureDefinition(name, shape) - measureDefinition(name, this.#prepared.get(name)?.shape));
 		if (refusal === undefined) {
 			this.#prepared.set(createCopy(name), {access, shape: createCopy(shape)});
 		}
@@ -63,7 +63,7 @@
 	removePrepared(name: string): void {
 		const former = this.#prepared.get(name);
 		this.#prepared.delete(name);
-		this.#hold(-measureDefinition(name, former?.shape));
+		this.#reserve(-measureDefinition(name, former?.shape));
 	}
 
 	/** Gives the memory back, after the session has ended. */
@@ -72,7 +72,7 @@
 	}
 
 	/** Records a change of the memory, in bytes; returns a refusal, and changes nothing, if it does not fit. */
-	#hold(addedBytes: number): Refusal | undefined {
+	#reserve(addedBytes: number): Refusal | undefined {
 		const bytes = this.#heldBytes + addedBytes;
 		if (addedBytes > 0 && bytes > maxSessionBytes) {
 			return refusals.invalid(`the values and prepared statements of the session would take more than ${maxSessionBytes} bytes`);
--- a/packages/gateway/src/tests/coordination/unreadable-coordinator-row.test.ts
+++ b/packages/gateway/src/tests/coordination/unreadable-coordinator-row.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createStoreVersion, getEra} from '../../ports/index.js';
+import {getEra} from '../../ports/index.js';
 import {TestCluster} from '../fakes/test-cluster.js';
 import {isServed} from './write-load.js';
 
@@ -14,12 +14,6 @@
 /** Values that are not the row of a coordinator. */
 const unreadableValues = ['', 'no JSON', '{}', '{"holder":"vm1","incarnation":"run-1","address":"vm1:1","token":-3}', '{"holder":"vm2","token":2}', '['.repeat(100_000)];
 
-/** Writes a row as another writer would. */
-function overwriteRow({store}: TestCluster, key: string, value: string): void {
-	store.version += 1;
-	store.rows.set(key, {key, value, version: createStoreVersion(store.era, store.version)});
-}
-
 function getToken(cluster: TestCluster): number {
 	return (JSON.parse(cluster.store.rows.get('coordinator')!.value) as {token: number}).token;
 }
@@ -47,7 +41,7 @@
 		});
 		await cluster.start();
 		const token = getToken(cluster);
-		overwriteRow(cluster, 'coordinator', value);
+		cluster.store.putRow('coordinator', value);
 		const electionMs = await measureElection(cluster);
 		t.true(electionMs >= silentHolderMs && electionMs <= silentHolderMs + maxElectionMs, `${electionMs} ms`);
 		t.true(getToken(cluster) > token);
@@ -79,7 +73,7 @@
 		cluster.killVm(vm);
 	}
 
-	overwriteRow(cluster, 'coordinator', 'no JSON');
+	cluster.store.putRow('coordinator', 'no JSON');
 	for (const vm of vms) {
 		await cluster.startVm(vm);
 	}
@@ -88,7 +82,7 @@
 	t.true(electionMs >= silentHolderMs && electionMs <= silentHolderMs + maxElectionMs, `${electionMs} ms`);
 	t.true(getToken(cluster) > token, `${getToken(cluster)}, ${token} was used`);
 	const later = getToken(cluster);
-	overwriteRow(cluster, 'coordinator', '[]');
+	cluster.store.putRow('coordinator', '[]');
 	for (const vm of vms) {
 		cluster.killVm(vm);
 		await cluster.startVm(vm);
@@ -110,7 +104,7 @@
 	const tokens: number[] = [];
 	for (let part = 0; part < 3000; part++) {
 		if (part % 400 === 150) {
-			overwriteRow(cluster, 'coordinator', `no JSON ${part}`);
+			cluster.store.putRow('coordinator', `no JSON ${part}`);
 		}
 
 		await cluster.time.advance(20);
@@ -144,7 +138,7 @@
 	}
 
 	cluster.store.restore(copy);
-	overwriteRow(cluster, 'coordinator', 'no JSON');
+	cluster.store.putRow('coordinator', 'no JSON');
 	for (const vm of vms) {
 		await cluster.startVm(vm);
 	}
--- a/packages/gateway/src/tests/coordination/unreadable-member-row.test.ts
+++ b/packages/gateway/src/tests/coordination/unreadable-member-row.test.ts
@@ -1,5 +1,4 @@
 import test, {type ExecutionContext} from 'ava';
-import {createStoreVersion} from '../../ports/index.js';
 import {TestCluster} from '../fakes/test-cluster.js';
 import {isServed} from './write-load.js';
 
@@ -12,12 +11,6 @@
 /** Duration of a term lease, in milliseconds. */
 const termLeaseMs = 1500;
 
-/** Writes a row as another writer would. */
-function overwriteRow({store}: TestCluster, key: string, value = 'no JSON'): void {
-	store.version += 1;
-	store.rows.set(key, {key, value, version: createStoreVersion(store.era, store.version)});
-}
-
 function createCluster(t: ExecutionContext, vms: readonly string[]): TestCluster {
 	const cluster = new TestCluster(vms);
 	t.teardown(() => {
@@ -31,7 +24,7 @@
 	test.serial(`${vms.length} of ${vms.length} VMs start although unreadable rows are under their names`, async t => {
 		const cluster = createCluster(t, vms);
 		for (const vm of vms) {
-			overwriteRow(cluster, `vm/${vm}`);
+			cluster.store.putRow(`vm/${vm}`, 'no JSON');
 		}
 
 		await cluster.start();
@@ -47,7 +40,7 @@
 	const cluster = createCluster(t, ['vm1', 'vm2', 'vm3']);
 	await cluster.start();
 	const vm = ['vm1', 'vm2', 'vm3'].find(name => name !== cluster.getCoordinator())!;
-	overwriteRow(cluster, `vm/${vm}`, '{}');
+	cluster.store.putRow(`vm/${vm}`, '{}');
 	await cluster.time.advance(maxRegistrationMs);
 	t.like(JSON.parse(cluster.store.rows.get(`vm/${vm}`)!.value), {address: `${vm}:1`});
 });
@@ -56,7 +49,7 @@
 test.serial('the closing of a term waits for the term lease of a VM whose row is unreadable, until the row is removed', async t => {
 	const cluster = createCluster(t, ['vm1', 'vm2', 'vm3']);
 	await cluster.start();
-	overwriteRow(cluster, 'vm/other');
+	cluster.store.putRow('vm/other', 'no JSON');
 	const callers = ['vm1', 'vm2', 'vm3'].map(vm => cluster.openSession(vm, 'strict'));
 	cluster.database.primary.crash();
 	t.true(await isServed(cluster, callers, 8000));
--- a/packages/gateway/src/tests/coordination/unreadable-term-row.test.ts
+++ b/packages/gateway/src/tests/coordination/unreadable-term-row.test.ts
@@ -1,5 +1,4 @@
 import test, {type ExecutionContext} from 'ava';
-import {createStoreVersion} from '../../ports/index.js';
 import {type FakeInstance} from '../fakes/fake-database.js';
 import {createConfiguration, TestCluster} from '../fakes/test-cluster.js';
 import {isServed, writeUntil} from './write-load.js';
@@ -9,12 +8,6 @@
 /** Time within which callers are served again after a failure beside an unreadable row, in milliseconds: the registration of instances, the term leases and a promotion. */
 const maxRecoveryMs = 8000;
 
-/** Writes a row as another writer would. */
-function overwriteRow({store}: TestCluster, key: string, value = 'no JSON'): void {
-	store.version += 1;
-	store.rows.set(key, {key, value, version: createStoreVersion(store.era, store.version)});
-}
-
 async function startCluster(t: ExecutionContext, groups: readonly string[] = ['db']): Promise<TestCluster> {
 	const cluster = new TestCluster(vms, {groups});
 	t.teardown(() => {
@@ -50,7 +43,7 @@
 for (const value of ['', 'no JSON', '{}', '{"term":1e300,"primaryId":"i-1","phase":"open","drainMs":0}']) {
 	test.serial(`a primary is replaced although its group's row was overwritten with ${JSON.stringify(value)}`, async t => {
 		const cluster = await startCluster(t);
-		overwriteRow(cluster, 'group/db', value);
+		cluster.store.putRow('group/db', value);
 		const callers = openSessions(cluster);
 		t.true(await isServed(cluster, callers, 1000));
 		cluster.database.primary.crash();
@@ -64,7 +57,7 @@
 	test.serial(`VMs that all start again beside an unreadable row of a group find its primary${isPrimaryAlive ? '' : ', or replace one that is gone'}`, async t => {
 		const cluster = await startCluster(t);
 		const former = cluster.database.primary;
-		overwriteRow(cluster, 'group/db');
+		cluster.store.putRow('group/db', 'no JSON');
 		if (!isPrimaryAlive) {
 			former.crash();
 		}
@@ -88,7 +81,7 @@
 	await writeUntil(cluster, callers, 500, () => false);
 	const successor = database.primary;
 	t.not(successor.id, former.id);
-	overwriteRow(cluster, 'group/db');
+	cluster.store.putRow('group/db', 'no JSON');
 	former.isDark = false;
 	successor.isDark = true;
 	const from = cluster.time.now();
@@ -107,7 +100,7 @@
 	cluster.network.isolatedVms.add(vm);
 	await cluster.time.advance(3000);
 	t.is(terms.getUsablePrimary('db'), cluster.database.primary.id);
-	overwriteRow(cluster, 'group/db');
+	cluster.store.putRow('group/db', 'no JSON');
 	await cluster.time.advance(1500);
 	t.is(terms.getUsablePrimary('db'), undefined);
 	cluster.network.isolatedVms.delete(vm);
@@ -122,7 +115,7 @@
 	const copy = cluster.store.takeCopy();
 	await cluster.time.advance(500);
 	cluster.store.restore(copy);
-	overwriteRow(cluster, 'group/db');
+	cluster.store.putRow('group/db', 'no JSON');
 	await cluster.time.advance(3000);
 	for (const group of ['db', 'other']) {
 		t.like(JSON.parse(cluster.store.rows.get(`group/${group}`)!.value), {era: 1, phase: 'open'});
--- a/packages/gateway/src/tests/fakes/fake-store.ts
+++ b/packages/gateway/src/tests/fakes/fake-store.ts
@@ -83,6 +83,12 @@
 		return {isApplied: true, version};
 	}
 
+	/** Writes a row without a condition, as another writer does. */
+	putRow(key: string, value: string): void {
+		this.version += 1;
+		this.rows.set(key, {key, value, version: createStoreVersion(this.era, this.version)});
+	}
+
 	/** Takes a copy of the shared rows and the version. */
 	takeCopy(): StoreCopy {
 		return {rows: new Map(this.rows), version: this.version, evacuatedZones: new Set(this.evacuatedZones)};
