--- a/review/shared-2/case.js
+++ b/review/shared-2/case.js
@@ -23,6 +23,7 @@
 		code = await play(world) ? 0 : 1;
 	} catch (error) {
 		world.record('script.failed', {error: String(error?.stack ?? error)});
+		console.error(error);
 	}
 
 	await world.stop();
@@ -47,7 +48,7 @@
 
 	/** Waits until a number of writes are acknowledged. */
 	async waitFor(count) {
-		await this.world.waitUntil(() => this.acknowledged.length >= count, 15_000, `${count} writes are acknowledged`);
+		await this.world.waitUntil(() => this.acknowledged.length >= count, 30_000, `${count} writes are acknowledged`);
 	}
 
 	async stop() {
--- a/review/shared-2/platform.js
+++ b/review/shared-2/platform.js
@@ -42,8 +42,6 @@
 	#history = [];
 	#waiting = new Set();
 	#startedAt = performance.now();
-	/** Called with each transaction before it is performed; returns `lose`, `late` or undefined. */
-	onTransaction = () => undefined;
 
 	constructor({answerMs = 4, transactionMs = 8} = {}) {
 		this.answerMs = answerMs;
