Review: the stand-ins move into the folder of case 6

Cause: under review/ only the folders of cases are allowed, and the shared stand-ins had one of their own. Change: review/shared-2 becomes review/6/stand-ins; imports, the path of the root and the texts that name it follow.

--- a/review/6/dark.js
+++ b/review/6/dark.js
@@ -1,7 +1,7 @@
 /** An acknowledged commit is missing in the instance that is promoted: the replica that received it is out of reach for a few seconds. */
-import {isTroubled, runCase, Writers} from '../shared-2/case.js';
-import {pause} from '../shared-2/platform.js';
-import {createConfiguration} from '../shared-2/world.js';
+import {isTroubled, runCase, Writers} from './stand-ins/case.js';
+import {pause} from './stand-ins/platform.js';
+import {createConfiguration} from './stand-ins/world.js';
 
 const deafMs = 6500;
 const darkAfterMs = 2500;
--- a/review/shared-2/world.js
+++ b/review/6/stand-ins/world.js
@@ -15,7 +15,7 @@
 	listen, pause, StandInPromotionApi, StandInStore,
 } from './platform.js';
 
-const root = path.resolve(import.meta.dirname, '../..');
+const root = path.resolve(import.meta.dirname, '../../..');
 
 /**
  * Link of one gateway to an address. While it is cut, it holds what is sent on open connections, and delivers it afterwards unless the sender has reset the
--- a/review/8/run.js
+++ b/review/8/run.js
@@ -1,9 +1,9 @@
 /* eslint-disable no-await-in-loop -- steps of a case follow one another */
 /** A session does not see its own acknowledged write, because its route has been to another service and back. */
-import {isTroubled, runCase} from '../shared-2/case.js';
-import {StandInClient} from '../shared-2/clients.js';
-import {pause} from '../shared-2/platform.js';
-import {createConfiguration} from '../shared-2/world.js';
+import {isTroubled, runCase} from '../6/stand-ins/case.js';
+import {StandInClient} from '../6/stand-ins/clients.js';
+import {pause} from '../6/stand-ins/platform.js';
+import {createConfiguration} from '../6/stand-ins/world.js';
 
 const services = ['svc-a', 'svc-b'];
 const sessionCount = 12;
