--- a/packages/gateway/src/coordination/successor-promoter.ts
+++ b/packages/gateway/src/coordination/successor-promoter.ts
@@ -76,7 +76,9 @@
 	 * @returns The new primary, undefined if none could be promoted.
 	 */
 	async promoteSuccessor(closedTerm: StoredTerm, isResumed: boolean): Promise<PromotedInstance | undefined> {
-		const readings = await this.dependencies.statusReader.readStatuses(this.dependencies.instances.getGroupInstances(closedTerm.group));
+		const asked = this.dependencies.instances.getGroupInstances(closedTerm.group);
+		const readings = await this.dependencies.statusReader.readStatuses(asked);
+		this.#logAnswers(closedTerm, asked, readings);
 		const settled = isResumed ? this.#findSettledPrimary(closedTerm, readings) : undefined;
 		if (settled !== undefined) {
 			return settled;
@@ -121,6 +123,13 @@
 		return undefined;
 	}
 
+	#logAnswers({group, term}: StoredTerm, asked: readonly Instance[], readings: readonly InstanceWithStatus[]): void {
+		const answered = new Set(readings.map(({instance}) => instance.id));
+		this.dependencies.log.logEvent('promotion.answered', {
+			group, term, answers: readings.map(reading => formatReading(reading)).join(', '), silent: asked.flatMap(({id}) => answered.has(id) ? [] : [id]).join(', '),
+		});
+	}
+
 	#getOrderedPromotion({promotion}: StoredTerm): OrderedPromotion {
 		return getOrderedPromotion(promotion, this.dependencies.coordinatorLease.token);
 	}
@@ -262,6 +271,10 @@
 	});
 }
 
+function formatReading({instance: {id, state}, status: {role, term, position}}: InstanceWithStatus): string {
+	return `${id} ${state} ${role} ${term} ${position.term}.${position.offset}`;
+}
+
 /** Returns the id of the primary of a closed term, which its row names only until a promotion is ordered. */
 function getFormerPrimaryId({primaryId, promotion}: StoredTerm): string {
 	return promotion?.formerPrimaryId ?? primaryId;
--- a/packages/model/src/events/event-catalogue.ts
+++ b/packages/model/src/events/event-catalogue.ts
@@ -197,6 +197,12 @@
 			group: 'string', term: 'number', ordered: 'string', answers: 'number', primary: 'string?',
 		},
 	},
+	'promotion.answered': {
+		importance: 'state', scope: 'cluster', isPossibleCause: true, description: 'the instances were asked before a successor is chosen: of each that answered the id, state, role, term and log position, and the ids of those that did not',
+		fields: {
+			group: 'string', term: 'number', answers: 'string', silent: 'string',
+		},
+	},
 	'promotion.ordered': {
 		importance: 'state', scope: 'cluster', isPossibleCause: true, description: 'an instance was told to become primary, and its response',
 		fields: {
