Sessions: a session keeps its newest commit in each group

Callers saw: a session on a read_your_writes route did not see its own acknowledged write after its route had been to another service and back.

Cause: a session kept one log position, that of its newest commit in whichever group. The commit at the other service replaced it, and was compared with positions of the first one's log: a shorter log let replicas without the commit serve, a longer one sent all reads to the primary.

Change: the newest commit is kept by group, taken for the group of the route when an operation is admitted, and recorded for the group of the operation. A session whose route never moves has one entry and reads where it did.

Why it works: positions are compared only within one group's log.

--- a/packages/gateway/src/sessions/caller-session.ts
+++ b/packages/gateway/src/sessions/caller-session.ts
@@ -1,16 +1,15 @@
-import {
-	clampTimerMs, refusals, type LogPosition, type Refusal,
-} from '@chicorysaddle/model';
+import {clampTimerMs, refusals, type Refusal} from '@chicorysaddle/model';
 import {getPriorityClass, type ClientAccount} from '../configuration/index.js';
 import {type PreparedStatement} from '../dispatch/index.js';
 import {type CallerAnswer, type CallerConnection} from '../ports/index.js';
 import {type SessionState, type StatementKind, type StatementRequest} from '../statements/index.js';
 import {chooseAccountName, type Operation, type AdmissionResult} from './operation.js';
+import {SessionCommits} from './session-commits.js';
 import {SessionDefinitions} from './session-definitions.js';
 import {type SessionIdentity, type SessionDependencies} from './session-dependencies.js';
 import {type OperationOutcome, AutocommitRunner} from './autocommit-runner.js';
 import {StatementRunner} from './statement-runner.js';
-import {getNewestCommit, Transaction, type TransactionAnswer} from './transaction.js';
+import {Transaction, type TransactionAnswer} from './transaction.js';
 
 type StatementHandler = (request: StatementRequest, startedAt: number) => Promise<void> | void;
 
@@ -29,6 +28,7 @@
 /** The session of one caller, which lasts as long as its connection. */
 export class CallerSession {
 	readonly #definitions: SessionDefinitions;
+	readonly #commits = new SessionCommits();
 	readonly #waiting: Array<{readonly request: StatementRequest; readonly receivedAt: number}> = [];
 	readonly #autocommit: AutocommitRunner;
 	readonly #runner: StatementRunner;
@@ -37,8 +37,6 @@
 	/** Refusal of the next statement of a transaction that was rolled back while none of its statements ran, until the caller is told. */
 	#rollBackRefusal: Refusal | undefined;
 	#transactionIdleTimer: NodeJS.Timeout | undefined;
-	#lastCommit: LogPosition | undefined;
-	#lastCommitAt: number | undefined;
 	#closeTimer: NodeJS.Timeout | undefined;
 	#isRunning = false;
 	/** Whether the running statement was answered. */
@@ -293,7 +291,7 @@
 		const {outcome} = await transaction.run(request, undefined);
 		this.#transaction = undefined;
 		this.#state = 'idle';
-		this.#answer(request, outcome);
+		this.#answer(request, transaction.operation, outcome);
 	}
 
 	#rollBack(request: StatementRequest): void {
@@ -339,7 +337,7 @@
 
 		const outcome = await this.#autocommit.run(admission.operation, request, prepared);
 		this.#releaseIfNotRun(admission.operation, outcome);
-		this.#answer(request, outcome);
+		this.#answer(request, admission.operation, outcome);
 	}
 
 	async #runInTransaction(transaction: Transaction, request: StatementRequest, prepared: PreparedStatement | undefined): Promise<void> {
@@ -352,7 +350,7 @@
 			this.#failTransaction();
 		}
 
-		this.#answer(request, outcome);
+		this.#answer(request, transaction.operation, outcome);
 	}
 
 	#setValue(request: StatementRequest): void {
@@ -402,9 +400,10 @@
 			return {kind: 'refused', refusal: this.dependencies.dispatcher.admission.refuseOverLimit(account, waitMs, route, this.dependencies.limiter.formatLimit(account)), isFinal: false};
 		}
 
+		const {lastCommit, lastCommitAt} = this.#commits.getNewest(route.group);
 		return {
 			kind: 'begun', operation: {
-				id: request.id, route, account, startedAt, session: this.#definitions, lastCommit: this.#lastCommit, lastCommitAt: this.#lastCommitAt, mayHaveRun: false,
+				id: request.id, route, account, startedAt, session: this.#definitions, lastCommit, lastCommitAt, mayHaveRun: false,
 			},
 		};
 	}
@@ -457,15 +456,15 @@
 		}), clampTimerMs(idleMs));
 	}
 
-	#answer(request: StatementRequest, outcome: OperationOutcome): void {
+	#answer(request: StatementRequest, operation: Operation, outcome: OperationOutcome): void {
 		if (outcome.kind === 'refused') {
 			this.#refuse(request, outcome.refusal);
 			return;
 		}
 
 		if (outcome.isCommit) {
-			this.#lastCommit = getNewestCommit(this.#lastCommit, outcome.position);
-			this.#lastCommitAt = this.dependencies.clock.now();
+			// The route of the session may lead to another group by now.
+			this.#commits.recordCommit(operation.route.group, outcome.position, this.dependencies.clock.now());
 		}
 
 		this.dependencies.metrics.addCount('completed');
--- a/packages/gateway/src/sessions/index.ts
+++ b/packages/gateway/src/sessions/index.ts
@@ -1,4 +1,5 @@
 export type * from './session-dependencies.js';
+export * from './session-commits.js';
 export * from './operation.js';
 export * from './statement-runner.js';
 export * from './autocommit-runner.js';
--- a/packages/gateway/src/sessions/operation.ts
+++ b/packages/gateway/src/sessions/operation.ts
@@ -2,6 +2,7 @@
 import {type ClientAccount, type DatabaseRoute} from '../configuration/index.js';
 import {type SessionValues} from '../dispatch/index.js';
 import {type TermRegistry} from '../terms/index.js';
+import {type OwnCommit} from './session-commits.js';
 import {type SessionDependencies} from './session-dependencies.js';
 
 /** One statement outside a transaction, or one transaction. */
@@ -14,7 +15,7 @@
 	/** Monotonic time at which its first statement arrived, in milliseconds. */
 	readonly startedAt: number;
 	readonly session: SessionValues;
-	/** Log position of the session's newest commit, undefined before the first one. */
+	/** Log position of the session's newest commit in the group of the route, undefined before the first one. */
 	readonly lastCommit: LogPosition | undefined;
 	/** Monotonic time at which that commit was acknowledged, in milliseconds. */
 	readonly lastCommitAt?: number | undefined;
@@ -73,9 +74,6 @@
 	return isAtLeast(covering, lastCommit) ? covering : lastCommit;
 }
 
-/** Newest commit of a session. */
-export type OwnCommit = Partial<Pick<Operation, 'lastCommit' | 'lastCommitAt'>>;
-
 /** Returns the time at which the session's own commit at a required position was acknowledged, in milliseconds; undefined if the position is not that of the commit. */
 export function getCommitTime({lastCommit, lastCommitAt}: OwnCommit, requiredPosition: LogPosition | undefined): number | undefined {
 	return requiredPosition === lastCommit ? lastCommitAt : undefined;
--- a/packages/gateway/src/sessions/statement-runner.ts
+++ b/packages/gateway/src/sessions/statement-runner.ts
@@ -3,7 +3,8 @@
 import {
 	type InstanceErrorKind, type OutgoingStatement, type RunResult, type Statement, type StatementOutcome,
 } from '../statements/index.js';
-import {getCommitTime, type OwnCommit} from './operation.js';
+import {getCommitTime} from './operation.js';
+import {type OwnCommit} from './session-commits.js';
 import {type SessionDependencies} from './session-dependencies.js';
 
 /** Operation as far as running its statements needs it. */
--- a/packages/gateway/src/sessions/transaction.ts
+++ b/packages/gateway/src/sessions/transaction.ts
@@ -1,4 +1,4 @@
-import {refusals, type LogPosition, Refusal} from '@chicorysaddle/model';
+import {refusals, Refusal} from '@chicorysaddle/model';
 import {type PreparedStatement} from '../dispatch/index.js';
 import {type ForwardResult, type StatementRequest, type TransactionAccess} from '../statements/index.js';
 import {fetchRequiredPosition, getCommitTime, type Operation} from './operation.js';
@@ -268,8 +268,3 @@
 		this.#place = undefined;
 	}
 }
-
-/** Returns the log position of a session's newest commit; a commit without a position leaves it unchanged. */
-export function getNewestCommit(newest: LogPosition | undefined, committed: LogPosition | undefined): LogPosition | undefined {
-	return committed ?? newest;
-}
