--- a/packages/gateway/src/coordination/successor-promoter.ts
+++ b/packages/gateway/src/coordination/successor-promoter.ts
@@ -180,8 +180,9 @@
 			const isPreferredByRegion = candidates.slice(index + 1).some(other => comparePositions(other.status.position, candidate.status.position) > 0);
 			const reading = position === undefined ? candidate : await this.#waitForCatchUp(candidate, position, isPreferredByRegion ? preferredCatchUpTimeoutMs : catchUpTimeoutMs) ?? candidate;
 			const hasCaughtUp = position === undefined || hasReached(reading, position);
-			if ((isPreferredByRegion && !hasCaughtUp) || !this.#canPromote(candidate.instance) || !isEligible(reading)) {
-				// A more advanced instance follows, and only one that has caught up may come before it.
+			// Only an instance that has caught up may come before a more advanced one.
+			const isPassedOver = isPreferredByRegion && !hasCaughtUp;
+			if (isPassedOver || !this.#canPromote(candidate.instance) || !isEligible(reading)) {
 				continue;
 			}
 
