Coordinator: an entry alone makes no instance one that may hold commits

Callers saw: where replicas acknowledge commits, a database without a primary until the end of the run: the change waited for entries of another writer that had been listed for two seconds.

Cause: every listed instance, and every one that had left the list, counted as one that may hold commits.

Change: an instance counts once it has stated its status to a coordinator, stands in the row, or has the address of one of these. Of a group without a row all listed ones count, and the first row names them.

--- a/packages/gateway/src/coordination/cluster-member.ts
+++ b/packages/gateway/src/coordination/cluster-member.ts
@@ -312,6 +312,7 @@
 		});
 		tasks.run('coordinator lease', async () => coordinatorLease.renewIfDue());
 		tasks.run('store recovery', async () => storeRecovery.recoverIfNeeded());
+		tasks.run('log holders', async () => logHolderWriter.confirmIfDue());
 		tasks.run('log holders', async () => logHolderWriter.writeIfChanged());
 		tasks.tryCall('hand-over', () => {
 			if (!promoter.isReplacingPrimary) {
--- a/packages/gateway/src/coordination/log-holder-writer.ts
+++ b/packages/gateway/src/coordination/log-holder-writer.ts
@@ -1,6 +1,7 @@
 import {type ConfigurationView} from '../configuration/index.js';
 import {type InstanceRegistry, type LogHolderRegistry} from '../instances/index.js';
 import {type Clock} from '../ports/index.js';
+import {type InstanceStatusReader} from '../positions/index.js';
 import {type CoordinatorLease} from './coordinator-lease.js';
 import {
 	createHoldersWrite, getHoldersKey, type HoldersContent, type HoldersRow, maxRowsPerWrite, type SharedState,
@@ -9,12 +10,16 @@
 /** Time after a failed write before the next one, in milliseconds. */
 const retryDelayMs = 1000;
 
+/** Interval at which instances that have stated nothing yet are asked, in milliseconds. */
+const confirmationIntervalMs = 1000;
+
 /** Dependencies of a `LogHolderWriter`. */
 export type LogHolderWriterDependencies = {
 	readonly coordinatorLease: CoordinatorLease;
 	readonly configuration: ConfigurationView;
 	readonly instances: InstanceRegistry;
 	readonly logHolders: LogHolderRegistry;
+	readonly statusReader: InstanceStatusReader;
 	readonly clock: Clock;
 };
 
@@ -24,6 +29,7 @@
 	#rows: ReadonlyMap<string, HoldersRow> = new Map();
 	#isWriting = false;
 	#failedAt = Number.NEGATIVE_INFINITY;
+	#confirmedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly dependencies: LogHolderWriterDependencies) {
 		dependencies.coordinatorLease.onReadBack(state => {
@@ -35,7 +41,23 @@
 	recordRows({holders}: SharedState): void {
 		this.#rows = holders;
 		for (const [group, {content}] of holders) {
-			this.dependencies.logHolders.addKnown(group, content?.instances ?? []);
+			if (content !== undefined) {
+				this.dependencies.logHolders.addKnown(group, content.instances);
+			}
+		}
+	}
+
+	/** Asks the instances that have joined for their status, since an entry may be that of another writer; only the coordinator may call this. */
+	async confirmIfDue(): Promise<void> {
+		const {clock, configuration, logHolders, statusReader} = this.dependencies;
+		if (clock.now() - this.#confirmedAt < confirmationIntervalMs) {
+			return;
+		}
+
+		this.#confirmedAt = clock.now();
+		const unconfirmed = [...configuration.getGroups()].flatMap(({name, syncReplicas = 0}) => syncReplicas === 0 ? [] : logHolders.getUnconfirmed(name));
+		for (const {instance} of await statusReader.readStatuses(unconfirmed)) {
+			logHolders.confirmInstance(instance.id);
 		}
 	}
 
@@ -77,6 +99,10 @@
 			return;
 		}
 
+		for (const [group, {instances}] of changed) {
+			this.dependencies.logHolders.addKnown(group, instances);
+		}
+
 		this.#rows = new Map([...this.#rows, ...changed.map(([group, content]) => [group, {content, version: versions.get(getHoldersKey(group))!}] as const)]);
 	}
 }
--- a/packages/gateway/src/coordination/successor-promoter.ts
+++ b/packages/gateway/src/coordination/successor-promoter.ts
@@ -125,6 +125,10 @@
 		const asked = this.dependencies.instances.getGroupInstances(closedTerm.group);
 		const readings = await this.dependencies.statusReader.readStatuses(asked);
 		this.#logAnswers(closedTerm, asked, readings);
+		for (const {instance} of readings) {
+			this.dependencies.logHolders.confirmInstance(instance.id);
+		}
+
 		const settled = isResumed ? this.#findSettledPrimary(closedTerm, readings, syncReplicas) : undefined;
 		if (settled !== undefined || syncReplicas === undefined) {
 			return settled;
--- a/packages/gateway/src/instances/log-holder-registry.ts
+++ b/packages/gateway/src/instances/log-holder-registry.ts
@@ -36,6 +36,10 @@
 	readonly #restarted = new Map<string, DepartedInstance>();
 	/** Instances whose logs others have, by id. */
 	readonly #succeeded = new Map<string, DepartedInstance>();
+	/** Ids of instances that have stated their role and position, or that another VM knew: an entry alone may be that of another writer, and names no instance. */
+	readonly #confirmed = new Set<string>();
+	/** Groups of which the instances that had joined before this VM are known. */
+	readonly #knownGroups = new Set<string>();
 
 	constructor(private readonly instances: InstanceRegistry, private readonly configuration: ConfigurationView, private readonly clock: Clock) {
 		instances.onChanged((before, after) => {
@@ -60,9 +64,20 @@
 		const now = this.clock.now();
 		const listed = this.instances.getGroupInstances(group).map(({id, address}) => ({id, address, mayReturn: true}));
 		const departed = [...this.#departed.values(), ...this.#restarted.values()].filter(instance => instance.group === group && instance.departedAt >= time - instanceRetentionMs);
-		return [...listed, ...departed.map(({id, address, departure, departedAt}) => ({
+		const holders: LogHolder[] = [...listed, ...departed.map(({id, address, departure, departedAt}) => ({
 			id, address, departure, departedAt, mayReturn: departure !== 'restarted' && now - departedAt < instanceRetentionMs,
 		}))];
+		return holders.filter(({id}) => !this.#knownGroups.has(group) || this.#confirmed.has(id));
+	}
+
+	/** Returns the listed instances of a group that have not stated their role and position yet; none before the instances that joined earlier are known. */
+	getUnconfirmed(group: string): Instance[] {
+		return this.#knownGroups.has(group) ? this.instances.getGroupInstances(group).filter(({id}) => !this.#confirmed.has(id)) : [];
+	}
+
+	/** Records that an instance has stated its role and position. */
+	confirmInstance(id: string): void {
+		this.#confirmed.add(id);
 	}
 
 	/** Returns whether an instance departed and another one has its log. */
@@ -70,11 +85,15 @@
 		return this.#succeeded.has(id);
 	}
 
-	/** Adds instances that another VM knew; those that are not listed count as silent from now on. */
+	/** Adds the instances of a group that another VM knew; those that are not listed count as silent from now on. */
 	addKnown(group: string, known: ReadonlyArray<Pick<LogHolder, 'id' | 'address'>>): void {
-		const addresses = this.#getAddresses(group);
+		this.#knownGroups.add(group);
 		for (const {id, address} of known) {
-			if (this.instances.getInstance(id) === undefined && !this.#departed.has(id) && !this.#succeeded.has(id) && !addresses.has(address)) {
+			this.#confirmed.add(id);
+			const successor = this.instances.getGroupInstances(group).find(instance => instance.address === address);
+			if (successor !== undefined) {
+				this.#confirmed.add(successor.id);
+			} else if (this.instances.getInstance(id) === undefined && !this.#departed.has(id) && !this.#succeeded.has(id)) {
 				this.#departed.set(id, {
 					group, id, address, bornMs: undefined, departure: 'silent', departedAt: this.clock.now(),
 				});
@@ -96,7 +115,7 @@
 		for (const other of this.#departed.values()) {
 			if (other.group === group && other.address === address) {
 				this.#departed.delete(other.id);
-				this.#recordSucceeded(other);
+				this.#recordSucceeded(other, id);
 			}
 		}
 	}
@@ -105,15 +124,20 @@
 		const departed: DepartedInstance = {
 			group, id, address, bornMs, departure: state === 'draining' ? 'drained' : 'silent', departedAt: this.clock.now(),
 		};
-		if (this.#getAddresses(group).has(address)) {
-			this.#recordSucceeded(departed);
-		} else {
+		const successor = this.instances.getGroupInstances(group).find(instance => instance.address === address);
+		if (successor === undefined) {
 			this.#departed.set(id, departed);
+		} else {
+			this.#recordSucceeded(departed, successor.id);
 		}
 	}
 
 	/** Records that another instance has the address of a departed one: it has the log of one that drained, and that of another one does not return. */
-	#recordSucceeded(departed: DepartedInstance): void {
+	#recordSucceeded(departed: DepartedInstance, successorId: string): void {
+		if (this.#confirmed.has(departed.id)) {
+			this.#confirmed.add(successorId);
+		}
+
 		if (departed.departure === 'silent' && departed.bornMs !== undefined) {
 			this.#restarted.set(departed.id, {...departed, departure: 'restarted'});
 		} else {
@@ -121,8 +145,11 @@
 		}
 	}
 
-	#getAddresses(group: string): ReadonlySet<string> {
-		return new Set(this.instances.getGroupInstances(group).map(({address}) => address));
+	#removeConfirmation(id: string): void {
+		const isKept = this.instances.getInstance(id) !== undefined || [this.#departed, this.#restarted, this.#succeeded].some(departures => departures.has(id));
+		if (!isKept) {
+			this.#confirmed.delete(id);
+		}
 	}
 
 	#removeOutdated(): void {
@@ -131,6 +158,7 @@
 			for (const {id, departedAt} of departures.values()) {
 				if (departedAt < oldest) {
 					departures.delete(id);
+					this.#removeConfirmation(id);
 				}
 			}
 		}
--- a/packages/gateway/src/tests/coordination/synchronous-replicas.test.ts
+++ b/packages/gateway/src/tests/coordination/synchronous-replicas.test.ts
@@ -276,3 +276,24 @@
 
 	t.true(times[1]! <= times[0]! + 200, times.join(' '));
 });
+
+for (const [name, isListedStill] of [['is listed', true], ['was listed a moment ago', false]] as const) {
+	// Guards against a promotion that waits for an entry of another writer, which names no instance of the group.
+	test.serial(`an entry of another writer that ${name} does not delay a change of primary`, async t => {
+		const run = new SynchronousCluster();
+		await run.start();
+		const {store, time} = run.cluster;
+		const [own] = store.instances;
+		const foreign = {
+			...own!, id: 'foreign', address: 'foreign:1', reportedRole: 'replica' as const,
+		};
+		store.instances = [...store.instances, foreign];
+		await time.advance(2500);
+		run.instances[0].crash();
+		run.list();
+		store.instances = isListedStill ? [...store.instances, foreign] : store.instances;
+		t.true(await run.isServed(4000));
+		await run.stop();
+		t.deepEqual(findLostCommits(run.database, run.acknowledged), []);
+	});
+}
--- a/packages/gateway/src/tests/fakes/fake-database.ts
+++ b/packages/gateway/src/tests/fakes/fake-database.ts
@@ -354,7 +354,12 @@
 
 	async open(target: Instance, account: string, timeoutMs: number): Promise<ConnectResult> {
 		const database = this.databases.find(candidate => candidate.group === target.group)!;
-		const instance = database.instances.find(candidate => candidate.id === target.id)!;
+		const instance = database.instances.find(candidate => candidate.id === target.id);
+		if (instance === undefined) {
+			// An entry of another writer, or an outdated one.
+			return {kind: 'failed', failure: {reason: 'refused', message: 'refused'}};
+		}
+
 		database.recordArrival(this.vm, instance, 'connection');
 		if (database.isUnreachable(this.vm, instance)) {
 			await pause(timeoutMs);
--- a/packages/gateway/src/wiring/create-gateway.ts
+++ b/packages/gateway/src/wiring/create-gateway.ts
@@ -125,7 +125,7 @@
 		vm: identity.vm, regions: identity.regions, coordinatorLease, coordinator, terms, instances, groupSizes, logHolders, syncReplicas: new SyncReplicaSource(configuration, store), guard, statusReader, termWriter, promotionService: createContainedPromotionService(promotion, tasks), clock, log, metrics,
 	});
 	const logHolderWriter = new LogHolderWriter({
-		coordinatorLease, configuration, instances, logHolders, clock,
+		coordinatorLease, configuration, instances, logHolders, statusReader, clock,
 	});
 	const duties = new DutyMonitor(tasks, clock);
 	const promoter = new Promoter({
