--- a/review/11/run.js
+++ b/review/11/run.js
@@ -54,7 +54,7 @@
 }
 
 const groups = services.map((service, index) => new Group({
-	service, slots: 4, syncReplicas: 1, promoteMs: 1000, record, onPromoted: index === 0 ? checkPromoted : () => undefined,
+	service, slots: 4, syncReplicas: 1, promoteMs: 1000, record, onPromoted: index === 0 ? checkPromoted : undefined,
 }));
 const [group] = groups;
 const platform = new Platform({heartbeatMs, record, promote: order => groups.find(({service}) => service === order.service)?.promote(order) ?? 409});
--- a/review/databases-3.js
+++ b/review/databases-3.js
@@ -225,7 +225,7 @@
 			case 'READ': {
 				await pause(workMs);
 				this.group.recordRun(id, this, words);
-				return `ROW row\r\nCOMPLETE s.${this.id}.${id}`;
+				return [...this.group.createRows(words), `COMPLETE s.${this.id}.${id}`].join('\r\n');
 			}
 
 			case 'WRITE': {
@@ -292,10 +292,11 @@
 	 * @param options.syncReplicas - Replicas that have received a commit before it is acknowledged.
 	 * @param options.promoteMs - Time that a promotion takes, in milliseconds.
 	 * @param options.onPromoted - Called with each instance that was promoted.
+	 * @param options.createRows - Returns the rows of a read.
 	 */
-	constructor({service, slots, syncReplicas, promoteMs, record, onPromoted}) {
+	constructor({service, slots, syncReplicas, promoteMs, record, onPromoted = () => undefined, createRows = () => ['ROW row']}) {
 		Object.assign(this, {
-			service, slots, syncReplicas, promoteMs, record, onPromoted,
+			service, slots, syncReplicas, promoteMs, record, onPromoted, createRows,
 		});
 	}
 
