--- a/review/databases-3.js
+++ b/review/databases-3.js
@@ -6,6 +6,9 @@
 /** Time that a read or a write takes at an instance, in milliseconds. */
 const workMs = 4;
 
+/** Time that a new connection takes, in milliseconds. */
+const openMs = 12;
+
 /** Time within which an old primary that reaches the new one becomes its replica, in milliseconds. */
 const demotionMs = 1000;
 
@@ -37,6 +40,8 @@
 	isAlive = false;
 	/** Whether it receives nothing from the primary. */
 	isDeaf = false;
+	/** Whether it neither reads nor answers anything. */
+	isDark = false;
 	/** Whether the store gets none of its heartbeats. */
 	isCutFromStore = false;
 	state = 'ready';
@@ -73,7 +78,7 @@
 
 	/** Writes the entry to the store, unless the store is not reached. */
 	beat() {
-		if (this.isCutFromStore) {
+		if (this.isCutFromStore || this.isDark) {
 			return;
 		}
 
@@ -116,7 +121,7 @@
 
 	/** Receives the log of its primary up to a number, with what it missed before; returns whether it has that now. */
 	receive(primary, number) {
-		if (!this.isAlive || this.isDeaf || this.role !== 'replica' || this.term !== primary.term) {
+		if (!this.isAlive || this.isDeaf || this.isDark || this.role !== 'replica' || this.term !== primary.term) {
 			return false;
 		}
 
@@ -134,7 +139,7 @@
 		let isRunning = false;
 		const runWaiting = async () => {
 			isRunning = true;
-			while (waiting.length > 0) {
+			while (waiting.length > 0 && !this.isDark) {
 				// The statements of a connection run one after another.
 				// eslint-disable-next-line no-await-in-loop
 				await this.#handleLine(socket, session, waiting.shift());
@@ -168,7 +173,7 @@
 		if (word === 'START') {
 			const [service, , id = this.id] = fields;
 			session.isOpen = service === this.group.service && id === this.id;
-			await pause(2);
+			await pause(openMs);
 			socket.write(session.isOpen ? `READY I ${this.position}\r\n` : 'ERROR WRONGNODE another instance\r\n', () => {
 				if (!session.isOpen) {
 					socket.end();
@@ -185,7 +190,7 @@
 		const [id, ...words] = fields;
 		const answer = await this.#run(session, id, words);
 		const state = session.writes === undefined ? 'I' : 'T';
-		if (!socket.destroyed && answer !== undefined) {
+		if (!socket.destroyed && !this.isDark && answer !== undefined) {
 			socket.write(`${answer}\r\nREADY ${state} ${this.position}\r\n`, 'latin1');
 		}
 	}
