--- a/review/11/run.js
+++ b/review/11/run.js
@@ -154,8 +154,8 @@
 	leaving.state = 'draining';
 	leaving.beat();
 	record(`plan: ${leaving.id} reports draining`);
-	await pause(300);
-	if (!hasTrouble) {
+	const {sequence} = leaving;
+	if (!hasTrouble || !await waitUntil(() => leaving.sequence > sequence, 2 * heartbeatMs)) {
 		await pause(15_000);
 		return;
 	}
--- a/review/databases-3.js
+++ b/review/databases-3.js
@@ -35,7 +35,8 @@
 	#server;
 	#sockets = new Set();
 	#beatTimer;
-	#sequence = 0;
+	/** Number of heartbeats that the store got. */
+	sequence = 0;
 	log = [];
 	isAlive = false;
 	/** Whether it receives nothing from the primary. */
@@ -82,7 +83,7 @@
 			return;
 		}
 
-		this.#sequence += 1;
+		this.sequence += 1;
 		this.group.platform.beat(this.id, {
 			Service: this.group.service,
 			Address: this.address,
@@ -92,7 +93,7 @@
 			State: this.state,
 			ColdRemainingMs: 0,
 			DbRole: this.role,
-			Sequence: this.#sequence,
+			Sequence: this.sequence,
 			born: this.bornMs,
 		});
 	}
--- a/review/gateways-3.js
+++ b/review/gateways-3.js
@@ -62,11 +62,11 @@
 		return [...this.#members.keys()];
 	}
 
-	/** Chooses addresses and writes the settings of a process. */
-	async add(name, host, zone) {
+	/** Chooses the addresses of a process; it may reach the platform over a link of its own. */
+	async add(name, host, zone, platformAddress = this.platformAddress) {
 		const [front, ready, peers] = await findPorts(host, 3);
 		this.#members.set(name, {
-			name, host, zone, front, ready, peers, child: undefined,
+			name, host, zone, front, ready, peers, platformAddress, child: undefined,
 		});
 	}
 
@@ -136,7 +136,7 @@
 		rmSync(this.#folder, {recursive: true});
 	}
 
-	#formatSettings({name, host, zone, front, ready, peers}) {
+	#formatSettings({name, host, zone, front, ready, peers, platformAddress}) {
 		const seeds = [...this.#members.values()].slice(0, 3).map(member => `"${member.host}:${member.peers}"`);
 		return `NodeName = "${name}"
 Role = "gateway"
@@ -163,12 +163,12 @@
 [Bounds]
 ${this.bounds.join('\n')}
 [platform]
-Address = "${this.platformAddress}"
+Address = "${platformAddress}"
 form = "table"
 WritesPerS = 400
 ReadsPerS = 2000
 [CloudApi]
-Address = "${this.platformAddress}"
+Address = "${platformAddress}"
 Duties = ["promotion"]
 `;
 	}
--- a/review/store-3.js
+++ b/review/store-3.js
@@ -81,6 +81,11 @@
 		return row && JSON.parse(Buffer.from(row.Value, 'base64').toString());
 	}
 
+	/** Returns the version of a row, 0 if there is none. */
+	getVersion(table, key) {
+		return this.#rows.get(`${table}/${key}`)?.Ver ?? 0;
+	}
+
 	/** Takes a heartbeat of an instance; its entry is removed after three intervals without another one. */
 	beat(id, entry) {
 		this.put('servers', id, entry);
