End the gateways of a review case also when its script is stopped

Cause: a script that was ended by a signal or an error left its gateway processes running. Change: they are ended with the script.

--- a/review/gateways-3.js
+++ b/review/gateways-3.js
@@ -56,6 +56,15 @@
 		Object.assign(this, {
 			platformAddress, zones, bounds, logFolder,
 		});
+		process.once('exit', () => {
+			this.#killAll();
+		});
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			process.once(signal, () => {
+				this.#killAll();
+				process.kill(process.pid, 'SIGKILL');
+			});
+		}
 	}
 
 	get names() {
@@ -128,12 +137,15 @@
 
 	/** Ends all processes. */
 	async stop() {
+		this.#killAll();
+		await pause(200);
+		rmSync(this.#folder, {recursive: true});
+	}
+
+	#killAll() {
 		for (const {child} of this.#members.values()) {
 			child?.kill('SIGKILL');
 		}
-
-		await pause(200);
-		rmSync(this.#folder, {recursive: true});
 	}
 
 	#formatSettings({name, host, zone, front, ready, peers, platformAddress}) {
