Coordinator: an order is taken back when its lease ends or its time is up

An order of a former holder reached the platform six seconds after its lease had ended, with a lower fencing token, and promoted an instance that was leaving.

Cause: a request that timed out was given up with an orderly close of its connection, after which the network still delivers what is under way. Besides, the answer to an order was awaited for up to 2.5 s whatever was left of the lease, also after the lease had been handed over or released.

An order is awaited for no longer than the lease lasts, and is given up at once when the lease is released, handed over or lost; a coordinator that releases its lease gives no further order.

--- a/packages/gateway/src/coordination/coordinator-lease.ts
+++ b/packages/gateway/src/coordination/coordinator-lease.ts
@@ -56,7 +56,10 @@
 	#lastEndedToken = 0;
 	/** Number of times this process acquired, resumed or ended the lease. */
 	#transitionCount = 0;
+	/** Whether this VM gives the lease up as soon as the running writes are done. */
+	#isReleasing = false;
 	readonly #readBackListeners: Array<(state: SharedState) => void> = [];
+	readonly #endListeners: Array<() => void> = [];
 
 	constructor(private readonly store: CoordinationStore, private readonly identity: GatewayIdentity, private readonly clock: Clock, private readonly log: EventLog) {}
 
@@ -65,6 +68,11 @@
 		this.#readBackListeners.push(listener);
 	}
 
+	/** Adds a listener that is called when this VM gives the lease up or learns that it has lost it. */
+	onEnded(listener: () => void): void {
+		this.#endListeners.push(listener);
+	}
+
 	/** Fencing token of the held lease, 0 when this VM does not hold it. */
 	get token(): number {
 		return this.#heldRow?.token ?? 0;
@@ -87,17 +95,17 @@
 
 	/** Returns the time since the last successful renewal, in milliseconds; at most the duration of the lease, 0 when this VM does not hold it. */
 	getMsSinceRenewal(): number {
-		return this.#heldRow === undefined ? 0 : leaseDurationMs - this.getRemainingMs();
+		return this.#heldRow === undefined ? 0 : leaseDurationMs - this.#lease.getRemainingMs(this.#getClockReading());
 	}
 
 	/** Returns whether this VM may act as the coordinator now. */
 	isHeld(): boolean {
-		return this.#heldRow !== undefined && this.#lease.isHeld(this.#getClockReading());
+		return this.#heldRow !== undefined && !this.#isReleasing && this.#lease.isHeld(this.#getClockReading());
 	}
 
 	/** Returns the remaining time of the lease, in milliseconds; 0 when this VM does not hold it. */
 	getRemainingMs(): number {
-		return this.#heldRow === undefined ? 0 : this.#lease.getRemainingMs(this.#getClockReading());
+		return this.#heldRow === undefined || this.#isReleasing ? 0 : this.#lease.getRemainingMs(this.#getClockReading());
 	}
 
 	/** Records the version of the row, as read from the store or reported by the holder; a new version shows that the holder is alive. */
@@ -220,6 +228,8 @@
 			return;
 		}
 
+		this.#isReleasing = true;
+		this.#notifyEnded();
 		await this.#runExclusively(async () => {
 			const {version, ...content} = this.#heldRow ?? held;
 			this.end('resigned');
@@ -234,7 +244,15 @@
 			this.#lastEndedToken = this.#heldRow.token;
 			this.#heldRow = undefined;
 			this.#transitionCount += 1;
+			this.#isReleasing = false;
 			this.#lease.release();
+			this.#notifyEnded();
+		}
+	}
+
+	#notifyEnded(): void {
+		for (const listener of this.#endListeners) {
+			listener();
 		}
 	}
 
--- a/packages/gateway/src/coordination/successor-promoter.ts
+++ b/packages/gateway/src/coordination/successor-promoter.ts
@@ -8,7 +8,9 @@
 	type GroupSizes, type Instance, type InstanceRegistry, instanceRetentionMs, type LogHolder, type LogHolderRegistry,
 } from '../instances/index.js';
 import {type EventLog, type GatewayMetrics} from '../observability/index.js';
-import {type Clock, type PromotionService} from '../ports/index.js';
+import {
+	type Clock, type PromotionRequest, type PromotionResult, type PromotionService,
+} from '../ports/index.js';
 import {type InstanceStatusReader, type InstanceWithStatus} from '../positions/index.js';
 import {type GroupTerm, type TermRegistry} from '../terms/index.js';
 import {type Coordinator} from './coordinator.js';
@@ -73,7 +75,17 @@
 	/** Instances whose last order has no answer that this VM knows of, by group: the platform may still perform it. */
 	readonly #unansweredOrders = new Map<string, string>();
 
-	constructor(private readonly dependencies: SuccessorPromoterDependencies) {}
+	/** Orders whose answers are awaited. */
+	readonly #runningOrders = new Set<AbortController>();
+
+	constructor(private readonly dependencies: SuccessorPromoterDependencies) {
+		// An order that arrives after the lease has ended could undo what the next coordinator orders.
+		dependencies.coordinatorLease.onEnded(() => {
+			for (const order of this.#runningOrders) {
+				order.abort();
+			}
+		});
+	}
 
 	/** Finds the primary that the record of an interrupted change names; returns undefined if the record does not tell, or the former primary is to be replaced. */
 	async findRecordedPrimary(closedTerm: StoredTerm): Promise<PromotedInstance | undefined> {
@@ -331,7 +343,7 @@
 
 	/** Orders a promotion and waits until the instance is the primary; returns undefined if the request is rejected, the instance may not be promoted any more, or the time is up. */
 	async #promote(group: string, candidate: InstanceWithStatus, order: PromotionOrder): Promise<InstanceWithStatus | undefined> {
-		const {clock, promotionService, coordinatorLease, vm, log} = this.dependencies;
+		const {clock, coordinatorLease, vm, log} = this.dependencies;
 		const {instance} = candidate;
 		const deadline = clock.now() + promotionEffectTimeoutMs;
 		if (this.#unansweredOrders.get(group) !== instance.id) {
@@ -340,9 +352,9 @@
 
 		while (clock.now() < deadline && this.#canPromote(instance)) {
 			const {token} = coordinatorLease;
-			const result = await promotionService.promote({
+			const result = await this.#sendOrder({
 				group, instanceId: instance.id, holder: vm, fencingToken: token,
-			}, promoteTimeoutMs);
+			});
 			log.logEvent('promotion.ordered', {
 				group, instance: instance.id, token, result,
 			});
@@ -366,6 +378,18 @@
 		return undefined;
 	}
 
+	/** Sends an order, and gives it up when the lease under which it is sent ends. */
+	async #sendOrder(request: PromotionRequest): Promise<PromotionResult> {
+		const {promotionService, coordinatorLease} = this.dependencies;
+		const controller = new AbortController();
+		this.#runningOrders.add(controller);
+		try {
+			return await promotionService.promote(request, Math.min(promoteTimeoutMs, coordinatorLease.getRemainingMs()), controller.signal);
+		} finally {
+			this.#runningOrders.delete(controller);
+		}
+	}
+
 	async #waitUntilPrimary({instance, status: {role}}: InstanceWithStatus, order: PromotionOrder, deadline: number): Promise<InstanceWithStatus | undefined> {
 		const {clock, statusReader} = this.dependencies;
 		const acceptedAt = clock.now();
--- a/packages/gateway/src/ports/promotion-service.ts
+++ b/packages/gateway/src/ports/promotion-service.ts
@@ -13,6 +13,9 @@
 
 /** Platform API that promotes an instance to primary of its group. */
 export type PromotionService = {
-	/** Requests a promotion; `accepted` means that it was started, not that it has ended. */
-	promote(request: PromotionRequest, timeoutMs: number): Promise<PromotionResult>;
+	/**
+	 * Requests a promotion; `accepted` means that it was started, not that it has ended.
+	 * A request that is given up, because the time is up or the signal is aborted, is taken back as far as the network has not delivered it.
+	 */
+	promote(request: PromotionRequest, timeoutMs: number, signal?: AbortSignal): Promise<PromotionResult>;
 };
--- a/packages/gateway/src/tests/coordination/late-promotion.test.ts
+++ b/packages/gateway/src/tests/coordination/late-promotion.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import {TestCluster, type TestCaller} from '../fakes/test-cluster.js';
+import {type TestCluster} from '../fakes/test-cluster.js';
+import {startFaultyPromotion} from './faulty-promotion.js';
 import {isServed, writeUntil} from './write-load.js';
 
 /** Returns the commits of instances whose successor had taken effect before. */
@@ -10,25 +11,9 @@
 	});
 }
 
-/** Starts a cluster whose primary falls silent while the platform does not answer promotion calls, and performs them later. */
-async function startLatePromotion(lateMs = 7000): Promise<{readonly cluster: TestCluster; readonly callers: readonly TestCaller[]}> {
-	const cluster = new TestCluster(['vm1', 'vm2', 'vm3']);
-	const {database} = cluster;
-	Object.assign(database.options, {promoteMs: 600, stepDownMs: 1000});
-	await cluster.start();
-	const coordinator = cluster.getCoordinator();
-	const callers = [...cluster.gateways.keys()].filter(vm => vm !== coordinator).map(vm => cluster.openSession(vm, 'strict'));
-	await isServed(cluster, callers, 1000);
-	database.promotionFault = 'late';
-	database.lateMs = lateMs;
-	database.primary.isDark = true;
-	await writeUntil(cluster, callers, 5000, () => database.promotionRequests.length > 0);
-	return {cluster, callers};
-}
-
 // Guards against writes at an instance that was promoted in place of one whose order the platform had not answered, and performs later.
 test.serial('no write is acknowledged at an instance after an earlier order without an answer has taken effect', async t => {
-	const {cluster, callers} = await startLatePromotion();
+	const {cluster, callers} = await startFaultyPromotion('late', 7000);
 	const {database} = cluster;
 	const ordered = database.promotionRequests[0]!.instanceId;
 	await writeUntil(cluster, callers, 4500, () => false);
@@ -43,7 +28,7 @@
 
 // Guards against the same at the former primary, which is a candidate again once it answers.
 test.serial('no write is acknowledged at the former primary after an order without an answer has taken effect', async t => {
-	const {cluster, callers} = await startLatePromotion(16_000);
+	const {cluster, callers} = await startFaultyPromotion('late', 16_000);
 	const {database} = cluster;
 	const former = database.primary;
 	const ordered = database.promotionRequests[0]!.instanceId;
@@ -60,7 +45,7 @@
 
 // Guards against a group that waits for an instance that the platform has said not to run.
 test.serial('after a rejected repetition of an order another instance is promoted at once', async t => {
-	const {cluster, callers} = await startLatePromotion();
+	const {cluster, callers} = await startFaultyPromotion('late', 7000);
 	const {database} = cluster;
 	const ordered = database.instances.find(({id}) => id === database.promotionRequests[0]!.instanceId)!;
 	await cluster.time.advance(2000);
@@ -75,7 +60,7 @@
 
 // Guards against the same where the ordered instance does not answer for a while, so that another one is promoted meanwhile.
 test.serial.failing('no write is acknowledged at an instance after an order without an answer for one that was silent has taken effect', async t => {
-	const {cluster, callers} = await startLatePromotion();
+	const {cluster, callers} = await startFaultyPromotion('late', 7000);
 	const {database} = cluster;
 	const ordered = database.instances.find(({id}) => id === database.promotionRequests[0]!.instanceId)!;
 	ordered.isDark = true;
--- a/packages/gateway/src/tests/fakes/fake-database.ts
+++ b/packages/gateway/src/tests/fakes/fake-database.ts
@@ -69,6 +69,14 @@
 /** Time after which a caller gives up a promotion call without an answer, in milliseconds. */
 const unansweredMs = 2500;
 
+/** A promotion call that the network holds up until it is delivered or given up. */
+type HeldOrder = {
+	readonly request: PromotionRequest;
+	readonly settle: (result: PromotionResult) => void;
+	/** Whether its sender has ended without giving it up. */
+	isOrphaned: boolean;
+};
+
 /** Fake instance of a group. */
 export class FakeInstance {
 	role: 'primary' | 'replica' = 'replica';
@@ -186,8 +194,10 @@
 	readonly unreachablePairs = new Set<string>();
 	/** Errors to inject into the next statements of a kind; `lost-before` and `lost-after` close the connection before or after the statement is run. */
 	readonly plannedErrors: Array<{readonly kind: string; readonly error: InstanceErrorKind | 'lost-after' | 'lost-before'}> = [];
-	/** Fault of promotion calls: `lost` performs none and answers none, `answers-lost` only loses the answers, `late` also performs them after `lateMs`. */
-	promotionFault: 'none' | 'lost' | 'answers-lost' | 'late' = 'none';
+	/** Fault of promotion calls: `busy` refuses them, `lost` performs none and answers none, `answers-lost` only loses the answers, `late` also performs them after `lateMs`, `held` delays them until they are delivered or given up. */
+	promotionFault: 'none' | 'busy' | 'lost' | 'answers-lost' | 'late' | 'held' = 'none';
+	/** Promotion calls that the network holds up, by their senders. */
+	readonly heldOrders = new Set<HeldOrder>();
 	/** Time until a promotion call with the fault `late` is performed, in milliseconds. */
 	lateMs = 0;
 	term = 1;
@@ -274,14 +284,66 @@
 		}
 	}
 
-	async promote(request: PromotionRequest): Promise<PromotionResult> {
-		this.promotionRequests.push(request);
+	/** Performs the promotion calls that the network holds up. */
+	deliverHeldOrders(): void {
+		for (const order of this.heldOrders) {
+			this.heldOrders.delete(order);
+			this.promotionRequests.push(order.request);
+			order.settle(this.#perform(order.request, 0));
+		}
+	}
+
+	/** Records that the process of a VM has ended: what the network holds up of it is delivered later all the same. */
+	orphanHeldOrders(vm: string): void {
+		for (const order of this.heldOrders) {
+			order.isOrphaned ||= order.request.holder === vm;
+		}
+	}
+
+	async #hold(request: PromotionRequest, timeoutMs: number, signal: AbortSignal | undefined): Promise<PromotionResult> {
+		return new Promise(resolve => {
+			const order: HeldOrder = {request, settle: resolve, isOrphaned: false};
+			const abandon = () => {
+				if (!order.isOrphaned) {
+					this.heldOrders.delete(order);
+				}
+
+				resolve('unknown');
+			};
+
+			this.heldOrders.add(order);
+			setTimeout(abandon, timeoutMs);
+			signal?.addEventListener('abort', abandon);
+		});
+	}
+
+	async promote(request: PromotionRequest, timeoutMs = unansweredMs, signal?: AbortSignal): Promise<PromotionResult> {
 		const {promotionFault} = this;
+		if (promotionFault === 'held') {
+			return this.#hold(request, timeoutMs, signal);
+		}
+
+		this.promotionRequests.push(request);
+		if (promotionFault === 'busy') {
+			return 'busy';
+		}
+
 		if (promotionFault === 'lost') {
 			await pause(unansweredMs);
 			return 'unknown';
 		}
 
+		const result = this.#perform(request, promotionFault === 'late' ? this.lateMs : 0);
+		if (result === 'accepted' && promotionFault !== 'none') {
+			await pause(unansweredMs);
+			return 'unknown';
+		}
+
+		return result;
+	}
+
+	/** Performs a promotion call after a time, in milliseconds. */
+	#perform(request: PromotionRequest, lateMs: number): PromotionResult {
 		const target = this.instances.find(instance => instance.id === request.instanceId);
 		if (target?.isAlive !== true) {
 			return 'rejected';
@@ -307,12 +369,7 @@
 			}
 
 			this.scheduleStepDowns();
-		}, this.options.promoteMs + (promotionFault === 'late' ? this.lateMs : 0));
-		if (promotionFault !== 'none') {
-			await pause(unansweredMs);
-			return 'unknown';
-		}
-
+		}, this.options.promoteMs + lateMs);
 		return 'accepted';
 	}
 
--- a/packages/gateway/src/tests/fakes/test-cluster.ts
+++ b/packages/gateway/src/tests/fakes/test-cluster.ts
@@ -192,7 +192,7 @@
 			vm, zone, regions: this.regions, incarnation: `run-${this.#startedVms}`, peerAddress: `${vm}:1`,
 		}, {
 			clock: this.time, store, connector, promotion: {
-				promote: async request => isAborted ? 'unknown' : this.databases.find(({group}) => group === request.group)!.promote(request),
+				promote: async (request, timeoutMs, signal) => isAborted ? 'unknown' : this.databases.find(({group}) => group === request.group)!.promote(request, timeoutMs, signal),
 			}, network: new FakeNetwork(vm, this.network), getSettings: () => ({
 				drainMs: 7000, limitWindowMs: 5000, capacity: this.capacities.get(vm) ?? this.capacity, seeds: this.vms.map(name => `${name}:1`),
 			}), logOutput: this.log, isForwardingEnabled: this.isForwardingEnabled && !this.formerVms.has(vm),
@@ -207,6 +207,10 @@
 		this.getGateway(vm).gateway.stop();
 		this.gateways.delete(vm);
 		this.network.closeLinks(vm);
+		for (const database of this.databases) {
+			database.orphanHeldOrders(vm);
+		}
+
 		this.#abortCallbacks.get(vm)!();
 	}
 
