--- a/packages/gateway/src/configuration/configuration-watcher.ts
+++ b/packages/gateway/src/configuration/configuration-watcher.ts
@@ -185,6 +185,9 @@
 				if (this.#storeVersion === versionBefore) {
 					await intervalEnd;
 				}
+			} else if (result.failure.reason === 'doubted') {
+				// The next poll continues on another connection.
+				await intervalEnd;
 			} else {
 				// The next call reads the full configuration: the store's change history may no longer contain the polled version.
 				this.#storeVersion = undefined;
--- a/packages/gateway/src/ports/coordination-store.ts
+++ b/packages/gateway/src/ports/coordination-store.ts
@@ -20,10 +20,10 @@
 /** Reason why a store call failed. */
 export type StoreFailure = {
 	/**
-	 * `busy` and `refused` mean that the call had no effect; `lost` means that it may have had one.
+	 * `busy` and `refused` mean that the call had no effect; `lost` means that it may have had one; `doubted` means that a poll was given up because its connection may be dead.
 	 * `history-gone` means that the store no longer has the changes after a version; `invalid` means an unexpected response.
 	 */
-	readonly reason: 'busy' | 'refused' | 'lost' | 'history-gone' | 'invalid';
+	readonly reason: 'busy' | 'refused' | 'lost' | 'doubted' | 'history-gone' | 'invalid';
 	readonly message: string;
 };
 
--- a/packages/gateway/src/tests/configuration/configuration-watcher.test.ts
+++ b/packages/gateway/src/tests/configuration/configuration-watcher.test.ts
@@ -113,3 +113,40 @@
 	t.is(view.version, 2);
 	watcher.stop();
 });
+
+// Guards against a change that takes effect seconds late after the connections to the store went silent, and against reading a large configuration again for a doubt.
+test.serial('a poll that is given up in doubt continues from the same version at once', async t => {
+	const time = new VirtualTime();
+	t.teardown(() => {
+		time.stop();
+	});
+	const log = new EventLog('vm1', {write: () => undefined, writableLength: 0});
+	const tasks = new BackgroundTasks(log, new GatewayMetrics(), time);
+	const store = new FakeStore();
+	const client = new FakeStoreClient('vm1', store);
+	const view = new ConfigurationView();
+	const watcher = new ConfigurationWatcher(client, view, {random: () => 0, log, tasks});
+	const poll = client.pollConfiguration.bind(client);
+	const versions: number[] = [];
+	let giveUp: (() => void) | undefined;
+	client.pollConfiguration = async (afterVersion, ...rest) => {
+		versions.push(afterVersion);
+		return giveUp === undefined
+			? new Promise(resolve => {
+				giveUp = () => {
+					resolve({kind: 'failed', failure: {reason: 'doubted', message: 'planned'}});
+				};
+			})
+			: poll(afterVersion, ...rest);
+	};
+
+	store.setConfiguration(createConfiguration(1));
+	tasks.runLoop('configuration watch', async () => watcher.run(), () => watcher.isStopped);
+	await time.advance(1000);
+	store.setConfiguration(createConfiguration(2));
+	giveUp!();
+	await time.advance(100);
+	t.is(view.version, 2);
+	t.is(versions[1], versions[0]);
+	watcher.stop();
+});
