VMs: an instance that is gone is not asked before each write

Seen in reading: while the order for an instance that is not listed and does not answer counts as pending, each write waited 400 ms for its answer, twice. It is asked every two seconds now. In the new test two callers write over 120 times in four seconds.

--- a/packages/gateway/src/positions/promotion-watch.ts
+++ b/packages/gateway/src/positions/promotion-watch.ts
@@ -21,6 +21,9 @@
 /** Delay before instances that did not answer a check are asked again, in milliseconds. */
 const retryDelayMs = 30;
 
+/** Time for which an instance that is not listed and did not answer is not asked again, in milliseconds: each question takes as long as its timeout. */
+const goneRetentionMs = 2000;
+
 /** Interval between the checks of the coordinator, in milliseconds. */
 const checkIntervalMs = 500;
 
@@ -34,6 +37,8 @@
 	readonly isOrdered: boolean;
 	/** Its last entry, or as much as is known of it. */
 	instance: Instance;
+	/** Monotonic time until which it is not asked again unless it is listed, in milliseconds: it is not listed and did not answer. */
+	goneUntil: number;
 };
 
 type CheckRecord = {readonly startedAt: number; readonly result: CheckResult; readonly revision: number | undefined};
@@ -187,8 +192,8 @@
 	}
 
 	async #checkInstance(id: string, watched: WatchedInstance, term: GroupTerm | undefined): Promise<CheckResult> {
-		const {statusReader, instances} = this.dependencies;
-		if (watched.instance.address === '') {
+		const {statusReader, instances, clock} = this.dependencies;
+		if (watched.instance.address === '' || clock.now() < watched.goneUntil) {
 			return 'clear';
 		}
 
@@ -198,8 +203,9 @@
 		}
 
 		if (reading === 'unreachable') {
-			// One that is not listed any more counts as gone.
-			return instances.getInstance(id) === undefined ? 'clear' : 'unknown';
+			const isGone = instances.getInstance(id) === undefined;
+			watched.goneUntil = isGone ? clock.now() + goneRetentionMs : watched.goneUntil;
+			return isGone ? 'clear' : 'unknown';
 		}
 
 		const isLater = typeof reading !== 'string' && term !== undefined && reading.status.term > term.term;
@@ -221,6 +227,7 @@
 		const watched = this.#watched.get(after.group)?.get(after.id);
 		if (watched !== undefined) {
 			watched.instance = after;
+			watched.goneUntil = Number.NEGATIVE_INFINITY;
 		}
 
 		const term = this.dependencies.terms.getTerm(after.group);
@@ -234,7 +241,9 @@
 		const {clock, log} = this.dependencies;
 		const {group, id} = instance;
 		const watched = this.#watched.get(group) ?? new Map<string, WatchedInstance>();
-		this.#watched.set(group, watched.set(id, {since: clock.now(), isOrdered, instance}));
+		this.#watched.set(group, watched.set(id, {
+			since: clock.now(), isOrdered, instance, goneUntil: Number.NEGATIVE_INFINITY,
+		}));
 		log.logEvent('promotion.watched', {group, instance: id, reason: isOrdered ? 'an order without a known answer' : 'its entry'});
 	}
 
--- a/packages/gateway/src/tests/coordination/unordered-promotion.test.ts
+++ b/packages/gateway/src/tests/coordination/unordered-promotion.test.ts
@@ -122,6 +122,23 @@
 	});
 }
 
+// Guards against writes that wait for an answer of an instance that is gone for good, each for as long as the question's timeout.
+test.serial('an order for an instance that is gone does not delay writes', async t => {
+	const {cluster, coordinator, callers} = await startFaultyPromotion('held');
+	const {database} = cluster;
+	const instance = database.instances.find(({id}) => id === [...database.heldOrders][0]!.request.instanceId)!;
+	const load = new RecordedLoad(cluster, callers);
+	cluster.killVm(coordinator);
+	database.promotionFault = 'none';
+	instance.isDark = true;
+	await load.run(14_000, other => other !== instance);
+	const count = load.acknowledged.size;
+	await load.run(4000, other => other !== instance);
+	// A caller sends up to 40 writes a second; with a question before and after each write it would be two.
+	t.true(load.acknowledged.size - count > 120, `${load.acknowledged.size - count} writes`);
+	cluster.stop();
+});
+
 // Guards against the same where the instance has been the primary meanwhile, by a repeated order, and was replaced since.
 test.serial('an order without an answer is performed after its instance was promoted by a repetition and replaced', async t => {
 	const {cluster, callers} = await startFaultyPromotion('late', 14_000);
